--- /dev/null
+++ b/src/main/binary/header.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec java -XX:+UseSerialGC ${VANILLADOOR_JAVA_OPTIONS:-} -jar "$0" "$@"
--- /dev/null
+++ b/src/main/java/org/vanilladoor/caller/CallerHandler.java
@@ -0,0 +1,180 @@
+package org.vanilladoor.caller;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import org.vanilladoor.claim.Attempt;
+import org.vanilladoor.common.Digests;
+import org.vanilladoor.common.Identifiers;
+import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.configuration.Model;
+import org.vanilladoor.configuration.Service;
+import org.vanilladoor.configuration.WorkClass;
+import org.vanilladoor.dispatch.Call;
+import org.vanilladoor.engine.PromptBlocks;
+import org.vanilladoor.http.HttpCallOut;
+import org.vanilladoor.http.HttpExchange;
+import org.vanilladoor.http.HttpHandler;
+import org.vanilladoor.http.Problem;
+import org.vanilladoor.http.ProblemException;
+
+/**
+ * Answers callers.
+ *
+ * <p>Each request reads one configuration, from its beginning to its end. Safe for use by any
+ * thread.
+ */
+public final class CallerHandler implements HttpHandler {
+    private static final String SERVICES = "/services/";
+    private static final int MAXIMUM_IDEMPOTENCY_KEY = 255;
+    private final EntryState mState;
+    private final CallerContext mContext;
+    private final RepeatMarks mRepeats = RepeatMarks.create(MonotonicClock::nowMillis);
+    private final int mMaximumBodyBytes;
+
+    private CallerHandler(EntryState state, CallerContext context, int maximumBodyBytes) {
+        mState = state;
+        mContext = context;
+        mMaximumBodyBytes = maximumBodyBytes;
+    }
+
+    /**
+     * Returns a handler.
+     *
+     * @param state what is to be known of the process
+     * @param context what relays of calls share
+     * @param maximumBodyBytes longest body of a request
+     */
+    public static CallerHandler create(
+            EntryState state, CallerContext context, int maximumBodyBytes) {
+        return new CallerHandler(state, context, maximumBodyBytes);
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) throws IOException {
+        String identifier = Identifiers.random();
+        exchange.setReplyHeader("X-Request-Id", identifier);
+        refuseUnlessAvailable(exchange);
+        String path = exchange.path();
+        if (path.equals("/v1/chat/completions") || path.equals("/v1/completions")) {
+            model(exchange, identifier);
+        } else if (path.startsWith(SERVICES)) {
+            service(exchange, identifier, path.substring(SERVICES.length()));
+        } else {
+            throw refused(404, "unknown-path", "No such path: " + path);
+        }
+    }
+
+    private void refuseUnlessAvailable(HttpExchange exchange) {
+        EntryState.Availability availability = mState.availability();
+        if (availability == EntryState.Availability.DRAINING) {
+            exchange.setReplyHeader("Connection", "close");
+        }
+        if (availability == EntryState.Availability.STARTING) {
+            throw new ProblemException(
+                    Problem.notRunRetryAfter(503, "not-ready", "The entry is not ready.", 1));
+        }
+    }
+
+    private void model(HttpExchange exchange, String identifier) throws IOException {
+        if (!exchange.method().equals("POST")) {
+            throw refused(405, "method-not-allowed", "Only POST is allowed here.");
+        }
+        Admission admission = Admission.of(mState.configuration(), mState.isInformed());
+        Caller caller = admission.authenticate(exchange);
+        ModelRequest request = ModelRequest.parse(exchange.readBody(mMaximumBodyBytes));
+        Model model = admission.model(request.model());
+        WorkClass workClass =
+                admission.classOfModel(model, caller, exchange.header("X-Work-Class"));
+        String digest = Digests.sha256(caller.team() + ':' + Digests.sha256(request.body()));
+        Call call =
+                new Call(
+                        identifier,
+                        caller.team(),
+                        workClass,
+                        model.name(),
+                        PromptBlocks.estimateTokens(request.prompt()),
+                        request.maximumOutputTokens(),
+                        PromptBlocks.digests(
+                                EndpointCaller.cacheScope(caller.team()), request.prompt()),
+                        mRepeats.begin(digest),
+                        MonotonicClock.nowMillis());
+        open(
+                call,
+                caller,
+                digest,
+                () -> ModelRelay.create(mContext, exchange, call, request).run());
+    }
+
+    private void service(HttpExchange exchange, String identifier, String rest) throws IOException {
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        Admission admission = Admission.of(mState.configuration(), mState.isInformed());
+        Service service = admission.service(name);
+        Caller caller = admission.authenticate(exchange, service);
+        WorkClass workClass = admission.classOfService(service, caller, exchange.method());
+        byte[] body = exchange.readBody(mMaximumBodyBytes);
+        String target = exchange.target().substring(SERVICES.length() + name.length());
+        HttpCallOut request =
+                new HttpCallOut(
+                        exchange.method(),
+                        target.isEmpty() ? "/" : target,
+                        ServiceRelay.forwardedHeaders(exchange),
+                        exchange.header("Content-Type").orElse("application/octet-stream"),
+                        body,
+                        workClass.kind().isRepeatable());
+        String digest =
+                Digests.sha256(
+                        String.join(
+                                ":",
+                                caller.team(),
+                                request.method(),
+                                request.target(),
+                                Digests.sha256(body)));
+        Call call =
+                new Call(
+                        identifier,
+                        caller.team(),
+                        workClass,
+                        service.name(),
+                        0,
+                        0,
+                        List.of(),
+                        mRepeats.begin(digest) && workClass.kind().isRepeatable(),
+                        MonotonicClock.nowMillis());
+        Optional<Attempt> attempt = attempt(exchange, call, digest);
+        open(
+                call,
+                caller,
+                digest,
+                () -> ServiceRelay.create(mContext, exchange, call, request, attempt).run());
+    }
+
+    private Optional<Attempt> attempt(HttpExchange exchange, Call call, String digest) {
+        Optional<String> key = exchange.header("Idempotency-Key");
+        if (call.workClass().kind().isRepeatable() || key.isEmpty()) {
+            return Optional.empty();
+        }
+        if (key.get().isBlank() || key.get().length() > MAXIMUM_IDEMPOTENCY_KEY) {
+            throw refused(400, "invalid-idempotency-key", "It has from 1 to 255 characters.");
+        }
+        return Optional.of(
+                mContext.claims()
+                        .receive(call.team(), key.get(), digest, call.deadlineMillis())
+                        .join());
+    }
+
+    private void open(Call call, Caller caller, String digest, Runnable relay) {
+        OpenCalls openCalls = mContext.openCalls();
+        openCalls.begin(call.identifier(), caller, answered -> mRepeats.end(digest, answered));
+        try {
+            relay.run();
+        } finally {
+            openCalls.end(call.identifier());
+        }
+    }
+
+    private static ProblemException refused(int status, String type, String detail) {
+        return new ProblemException(Problem.notRun(status, type, detail));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/caller/ModelRelay.java
@@ -0,0 +1,296 @@
+package org.vanilladoor.caller;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.dispatch.Call;
+import org.vanilladoor.dispatch.Decision;
+import org.vanilladoor.dispatch.Outcome;
+import org.vanilladoor.http.HttpCallOut;
+import org.vanilladoor.http.HttpExchange;
+import org.vanilladoor.http.HttpReply;
+import org.vanilladoor.http.Problem;
+
+/**
+ * Relays one call to model engines.
+ *
+ * <p>Until the first byte went to the caller, a failed engine is replaced by another one; after
+ * that the stream is resumed where the engine can. Invariant: a caller gets whole events of its own
+ * request only, and an incomplete stream ends with an error event. Used by one traffic thread.
+ */
+final class ModelRelay {
+    private static final Logger LOG = LogManager.getLogger(ModelRelay.class);
+    private static final int MAXIMUM_ATTEMPTS = 3;
+    private static final int MAXIMUM_ANSWER_BYTES = 32 * 1_024 * 1_024;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private final CallerContext mContext;
+    private final HttpExchange mExchange;
+    private final Call mCall;
+    private final ModelRequest mRequest;
+    private boolean mMayHaveRun;
+
+    private ModelRelay(
+            CallerContext context, HttpExchange exchange, Call call, ModelRequest request) {
+        mContext = context;
+        mExchange = exchange;
+        mCall = call;
+        mRequest = request;
+    }
+
+    static ModelRelay create(
+            CallerContext context, HttpExchange exchange, Call call, ModelRequest request) {
+        return new ModelRelay(context, exchange, call, request);
+    }
+
+    /** Answers the exchange. */
+    void run() {
+        String failure = "no engine was tried";
+        for (int attempt = 1; attempt <= MAXIMUM_ATTEMPTS; attempt++) {
+            Decision decision = mContext.gateway().submit(mCall).join();
+            if (decision instanceof Decision.Refused refused) {
+                refuse(refused);
+                return;
+            }
+            Decision.Assigned assigned = (Decision.Assigned) decision;
+            try {
+                relay(assigned);
+                return;
+            } catch (IOException e) {
+                failure = e.getMessage();
+                mContext.gateway().finish(mCall.identifier(), Outcome.FAILED, 0);
+                if (mContext.openCalls().isEnded(mCall.identifier())) {
+                    break;
+                }
+                LOG.info("caller: Endpoint {} failed a call: {}.", assigned.endpoint(), failure);
+            }
+        }
+        mContext.observer().failed(mCall);
+        boolean handedOver = mMayHaveRun;
+        mExchange.reply(
+                handedOver
+                        ? Problem.unknown(502, "endpoint-failed", failure, true)
+                        : Problem.notRunRetryAfter(UNAVAILABLE, "endpoint-failed", failure, 1));
+    }
+
+    private void refuse(Decision.Refused refused) {
+        mContext.observer().refused(mCall);
+        Decision.Refusal kind = refused.kind();
+        mExchange.reply(
+                mMayHaveRun
+                        ? Problem.unknown(kind.status(), kind.type(), refused.reason(), true)
+                        : Problem.notRunRetryAfter(
+                                kind.status(),
+                                kind.type(),
+                                refused.reason(),
+                                refused.retryAfterSeconds()));
+    }
+
+    private void relay(Decision.Assigned assigned) throws IOException {
+        HttpCallOut request = callOut();
+        if (assigned.isSplit()) {
+            request = readPrompt(assigned, request);
+        }
+        HttpReply reply = send(assigned.endpoint(), request);
+        if (mRequest.stream() && reply.status() == OK) {
+            beginStream(assigned, reply);
+        } else {
+            answerWhole(reply);
+        }
+    }
+
+    private HttpCallOut callOut() {
+        return new HttpCallOut(
+                "POST", mExchange.path(), Map.of(), "application/json", mRequest.body(), true);
+    }
+
+    /** Has another engine read the prompt and export its KV cache. */
+    private HttpCallOut readPrompt(Decision.Assigned assigned, HttpCallOut request)
+            throws IOException {
+        HttpCallOut prefill =
+                new HttpCallOut(
+                        "POST", "/v1/prefill", Map.of(), "application/json", mRequest.body(), true);
+        try (HttpReply reply = send(assigned.prefillEndpoint(), prefill)) {
+            reply.readAll(MAXIMUM_ANSWER_BYTES);
+            if (reply.status() != OK) {
+                throw new IOException("prefill was answered with " + reply.status());
+            }
+        }
+        HostPort source = mContext.addressOf(assigned.prefillEndpoint());
+        return request.withHeader("X-Kv-Source", source + "/" + mCall.identifier());
+    }
+
+    private HttpReply send(String endpoint, HttpCallOut request) throws IOException {
+        HostPort address = mContext.addressOf(endpoint);
+        try {
+            HttpReply reply = mContext.endpoints().send(address, mCall, request, timeLeft());
+            mMayHaveRun = true;
+            mContext.openCalls().attach(mCall.identifier(), reply);
+            if (reply.status() == UNAVAILABLE) {
+                reply.readAll(MAXIMUM_ANSWER_BYTES);
+                reply.close();
+                throw new IOException("endpoint refused the call");
+            }
+            return reply;
+        } catch (org.vanilladoor.http.NotHandedOverException e) {
+            throw e;
+        } catch (IOException e) {
+            mMayHaveRun = true;
+            throw e;
+        }
+    }
+
+    private Duration timeLeft() {
+        long left = mCall.deadlineMillis() - MonotonicClock.nowMillis();
+        return Duration.ofMillis(Math.max(1, left));
+    }
+
+    private void answerWhole(HttpReply reply) throws IOException {
+        byte[] body;
+        try (reply) {
+            body = reply.readAll(MAXIMUM_ANSWER_BYTES);
+        }
+        if (mContext.openCalls().isEnded(mCall.identifier())) {
+            throw new IOException("key was withdrawn");
+        }
+        int tokens = mRequest.outputTokens(body);
+        long millis = MonotonicClock.nowMillis() - mCall.arrivalMillis();
+        mContext.gateway().firstToken(mCall.identifier());
+        mContext.gateway().finish(mCall.identifier(), Outcome.ANSWERED, tokens);
+        mContext.openCalls().answered(mCall.identifier());
+        mContext.observer().answered(mCall, new CallObserver.Timing(millis, 0, tokens));
+        mExchange.reply(reply.status(), reply.contentType(), body);
+    }
+
+    private void beginStream(Decision.Assigned assigned, HttpReply reply) throws IOException {
+        SseReader reader = SseReader.of(reply);
+        Optional<byte[]> first;
+        try {
+            first = reader.next();
+        } catch (IOException e) {
+            reply.close();
+            throw e;
+        }
+        long firstTokenMillis = MonotonicClock.nowMillis();
+        mContext.gateway().firstToken(mCall.identifier());
+        // The body is written after this method returns, on the same thread.
+        mContext.openCalls().keep(mCall.identifier());
+        mExchange.replyStream(
+                OK,
+                "text/event-stream",
+                output -> {
+                    try {
+                        stream(output, assigned, reply, reader, first, firstTokenMillis);
+                    } finally {
+                        mContext.openCalls().release(mCall.identifier());
+                    }
+                });
+    }
+
+    private void stream(
+            OutputStream output,
+            Decision.Assigned assigned,
+            HttpReply reply,
+            SseReader reader,
+            Optional<byte[]> first,
+            long firstTokenMillis)
+            throws IOException {
+        AtomicInteger sent = new AtomicInteger();
+        try {
+            try (reply) {
+                pump(output, reader, first, sent);
+            } catch (CallerLeftException e) {
+                throw e;
+            } catch (IOException e) {
+                resume(output, assigned, sent);
+            }
+            output.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+            finish(sent.get(), firstTokenMillis);
+        } catch (CallerLeftException e) {
+            mContext.gateway().finish(mCall.identifier(), Outcome.CANCELLED, sent.get());
+            mContext.observer().failed(mCall);
+            throw e;
+        } catch (IOException e) {
+            mContext.gateway().finish(mCall.identifier(), Outcome.FAILED, sent.get());
+            mContext.observer().failed(mCall);
+            writeErrorEvent(output, e);
+        }
+    }
+
+    private void pump(
+            OutputStream output, SseReader reader, Optional<byte[]> first, AtomicInteger sent)
+            throws IOException {
+        Optional<byte[]> event = first;
+        while (event.isPresent()) {
+            writeEvent(output, event.get(), !reader.hasBuffered());
+            sent.incrementAndGet();
+            event = reader.next();
+        }
+    }
+
+    private void resume(OutputStream output, Decision.Assigned assigned, AtomicInteger sent)
+            throws IOException {
+        if (mContext.openCalls().isEnded(mCall.identifier())) {
+            throw new IOException("key was withdrawn");
+        }
+        String target = "/v1/resume/" + mCall.identifier() + "?from=" + sent.get();
+        try (HttpReply reply = send(assigned.endpoint(), HttpCallOut.get(target))) {
+            if (reply.status() != OK) {
+                throw new IOException("stream broke and can't be resumed");
+            }
+            SseReader reader = SseReader.of(reply);
+            pump(output, reader, reader.next(), sent);
+        }
+    }
+
+    private void finish(int sent, long firstTokenMillis) {
+        long now = MonotonicClock.nowMillis();
+        double between = sent > 1 ? (now - firstTokenMillis) / (sent - 1.0) : 0;
+        mContext.gateway().finish(mCall.identifier(), Outcome.ANSWERED, sent);
+        mContext.openCalls().answered(mCall.identifier());
+        mContext.observer()
+                .answered(
+                        mCall,
+                        new CallObserver.Timing(
+                                firstTokenMillis - mCall.arrivalMillis(), between, sent));
+    }
+
+    private static void writeEvent(OutputStream output, byte[] event, boolean flush)
+            throws CallerLeftException {
+        try {
+            output.write(event);
+            if (flush) {
+                output.flush();
+            }
+        } catch (IOException e) {
+            throw new CallerLeftException(e);
+        }
+    }
+
+    private void writeErrorEvent(OutputStream output, IOException failure) throws IOException {
+        Problem problem =
+                Problem.unknown(
+                        502, "incomplete-answer", String.valueOf(failure.getMessage()), true);
+        output.write("event: error\ndata: ".getBytes(StandardCharsets.UTF_8));
+        output.write(problem.toJson());
+        output.write("\n\n".getBytes(StandardCharsets.UTF_8));
+        output.flush();
+    }
+
+    /** The caller can't be written to any more. */
+    private static final class CallerLeftException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        CallerLeftException(IOException cause) {
+            super("caller left", cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/command/EntryCommand.java
@@ -0,0 +1,58 @@
+package org.vanilladoor.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.apache.logging.log4j.LogManager;
+import org.vanilladoor.entry.Entry;
+import org.vanilladoor.entry.TlsContexts;
+import org.vanilladoor.settings.EntrySettings;
+
+/**
+ * Runs an entry until the process is asked to stop.
+ *
+ * <p>Keeps no state between runs.
+ */
+final class EntryCommand implements Command {
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public String summary() {
+        return "Run an entry process; SIGTERM stops it without cutting a request.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommandFiles.required("settings", "FILE", "settings in TOML"));
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream output) throws IOException {
+        String file = line.getOptionValue("settings");
+        EntrySettings settings = EntrySettings.parse(file, CommandFiles.read(file));
+        Entry entry = Entry.start(settings, TlsContexts.create(settings).orElse(null));
+        output.println("callers " + entry.callerAddress());
+        output.println("operators " + entry.operatorAddress());
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    entry.stop();
+                                    stopped.countDown();
+                                    LogManager.shutdown();
+                                }));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/command/StatusCommand.java
@@ -0,0 +1,91 @@
+package org.vanilladoor.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.vanilladoor.common.Json;
+
+/**
+ * Shows what an entry knows.
+ *
+ * <p>Keeps no state between runs.
+ */
+final class StatusCommand implements Command {
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String summary() {
+        return "Show an entry's members, endpoints, leases and configuration version.";
+    }
+
+    @Override
+    public Options options() {
+        return OperatorClient.options().addOption(CommandFiles.flag("json", "show JSON"));
+    }
+
+    @Override
+    public ExitCode run(CommandLine line, PrintStream output) throws IOException {
+        try (OperatorClient client = OperatorClient.of(line)) {
+            OperatorClient.Answer answer = client.call("GET", "/status");
+            if (!answer.isOk() || line.hasOption("json")) {
+                output.println(answer.text());
+                return answer.isOk() ? ExitCode.OK : ExitCode.FAILED;
+            }
+            print(Json.readTree(answer.body()), output);
+            return ExitCode.OK;
+        }
+    }
+
+    private static void print(JsonNode status, PrintStream output) {
+        output.printf(
+                "%s in %s: %s, configuration %s, %s open calls%s%n",
+                status.path("name").asText(),
+                status.path("failureDomain").asText(),
+                status.path("ready").asBoolean() ? "ready" : "not ready",
+                status.path("configurationVersion"),
+                status.path("openCalls"),
+                status.path("informed").asBoolean() ? "" : ", may be missing withdrawn keys");
+        output.println("members:");
+        status.path("members")
+                .forEach(
+                        member ->
+                                output.printf(
+                                        "  %-20s %s%n",
+                                        member.path("name").asText(),
+                                        member.path("failureDomain").asText()));
+        output.println("endpoints:");
+        status.path("endpoints").forEach(endpoint -> printEndpoint(endpoint, output));
+        output.println("leases:");
+        status.path("leases")
+                .forEach(
+                        lease ->
+                                output.printf(
+                                        "  %-24s term %-4s %s%s%n",
+                                        lease.path("scope").asText(),
+                                        lease.path("term"),
+                                        lease.path("holder").asText(),
+                                        lease.path("held").asBoolean() ? " (here)" : ""));
+    }
+
+    private static void printEndpoint(JsonNode endpoint, PrintStream output) {
+        String state =
+                endpoint.path("leaving").asBoolean()
+                        ? "leaving"
+                        : endpoint.path("changing").asBoolean()
+                                ? "changing"
+                                : endpoint.path("drained").asBoolean() ? "drained" : "serving";
+        output.printf(
+                "  %-24s %-14s %-8s %-8s %s of %s%n",
+                endpoint.path("description").path("name").asText(),
+                endpoint.path("description").path("pool").asText(),
+                endpoint.path("role").asText(),
+                state,
+                endpoint.path("requests"),
+                endpoint.path("maximumStreams"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/common/Digests.java
@@ -0,0 +1,45 @@
+package org.vanilladoor.common;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Digests of bytes and text.
+ *
+ * <p>Stateless and safe for use by any thread.
+ */
+public final class Digests {
+    private static final HexFormat HEX = HexFormat.of();
+
+    private Digests() {}
+
+    /** Returns the SHA-256 digest of the bytes in lower-case hexadecimal. */
+    public static String sha256(byte[] content) {
+        try {
+            return HEX.formatHex(MessageDigest.getInstance("SHA-256").digest(content));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("the Java platform has no SHA-256", e);
+        }
+    }
+
+    /** Returns the SHA-256 digest of the text's UTF-8 form in lower-case hexadecimal. */
+    public static String sha256(String text) {
+        return sha256(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns a fast hash for placement; it is no protection against forgery. */
+    public static long placement(String text) {
+        return Hashing.wyhashFinal4().hashCharsToLong(text);
+    }
+
+    /**
+     * Returns whether both texts are equal, in a time that tells nothing about where they differ.
+     */
+    public static boolean equalSecrets(String first, String second) {
+        return MessageDigest.isEqual(
+                first.getBytes(StandardCharsets.UTF_8), second.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/common/MonotonicClock.java
@@ -0,0 +1,17 @@
+package org.vanilladoor.common;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The process's monotonic clock.
+ *
+ * <p>Its times have a meaning within the process only. Stateless and safe for use by any thread.
+ */
+public final class MonotonicClock {
+    private MonotonicClock() {}
+
+    /** Returns the monotonic time in milliseconds. */
+    public static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/common/RendezvousRanking.java
@@ -0,0 +1,34 @@
+package org.vanilladoor.common;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Ranks candidates for a scope by rendezvous hashing.
+ *
+ * <p>Every process that knows the same candidates computes the same ranking, and a candidate that
+ * leaves moves only its own scopes. The ranking is a hint that avoids conflicts; nothing may rest
+ * on it alone. Stateless and safe for use by any thread.
+ */
+public final class RendezvousRanking {
+    private RendezvousRanking() {}
+
+    /**
+     * Returns the candidates, the preferred one first.
+     *
+     * @param scope what is to be placed
+     * @param candidates names without duplicates
+     */
+    public static List<String> rank(String scope, Collection<String> candidates) {
+        return candidates.stream()
+                .sorted(
+                        Comparator.comparingLong((String name) -> weight(scope, name))
+                                .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    private static long weight(String scope, String candidate) {
+        return Digests.placement(scope + '\u0000' + candidate);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/dispatch/EndpointChoice.java
@@ -0,0 +1,116 @@
+package org.vanilladoor.dispatch;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Chooses endpoints for a call.
+ *
+ * <p>A prompt that would be read slowly where the answer is generated is read by another engine,
+ * whose KV cache is then moved, if that is faster by more than the move costs. Belongs to the
+ * control thread.
+ */
+final class EndpointChoice {
+    private static final double OTHER_DOMAIN_MILLIS = 3.0;
+    private static final double KV_MOVE_MILLIS_PER_TOKEN = 0.005;
+    private static final double KV_MOVE_BASE_MILLIS = 5.0;
+    private static final double STEADY_FOR_MOVABLE_MILLIS = 50.0;
+    private static final double INTERVAL_WEIGHT_TOKENS = 20.0;
+    private final String mFailureDomain;
+    private final Policies.Routing mRouting;
+    private long mTurn;
+
+    private EndpointChoice(String failureDomain, Policies.Routing routing) {
+        mFailureDomain = failureDomain;
+        mRouting = routing;
+    }
+
+    static EndpointChoice create(String failureDomain, Policies.Routing routing) {
+        return new EndpointChoice(failureDomain, routing);
+    }
+
+    /** Returns the endpoints for a call, or empty if it has to wait. */
+    Optional<Pair> choose(Call call, List<EndpointState> serving, long nowMillis) {
+        List<EndpointState> usable =
+                serving.stream()
+                        .filter(state -> state.isUsable(nowMillis))
+                        .filter(state -> mayRunOn(call, state))
+                        .toList();
+        List<EndpointState> free = usable.stream().filter(EndpointState::hasRoom).toList();
+        if (free.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                switch (mRouting) {
+                    case ROUND_ROBIN -> roundRobin(free);
+                    case LEAST_IN_FLIGHT -> leastInFlight(free);
+                    case PREDICTED -> predicted(call, usable, free);
+                });
+    }
+
+    private static boolean mayRunOn(Call call, EndpointState state) {
+        return call.workClass().reclaimable() || !state.description().reclaimable();
+    }
+
+    private Pair roundRobin(List<EndpointState> free) {
+        EndpointState next = free.get((int) (mTurn++ % free.size()));
+        return new Pair(next, next, "next in turn");
+    }
+
+    private static Pair leastInFlight(List<EndpointState> free) {
+        EndpointState least = least(free, EndpointState::requests);
+        return new Pair(least, least, "fewest requests in flight");
+    }
+
+    private Pair predicted(Call call, List<EndpointState> usable, List<EndpointState> free) {
+        EndpointState single =
+                least(free, state -> state.prefillMillis(call) + streamCost(call, state));
+        if (!single.description().engine()) {
+            EndpointState idlest = least(free, state -> loadCost(call, state));
+            return new Pair(idlest, idlest, "least loaded");
+        }
+        double singleCost = single.prefillMillis(call) + streamCost(call, single);
+        EndpointState reader =
+                least(usable, state -> state.prefillMillis(call) + distance(call, state));
+        EndpointState writer = least(free, state -> streamCost(call, state));
+        double move = KV_MOVE_BASE_MILLIS + call.promptTokens() * KV_MOVE_MILLIS_PER_TOKEN;
+        double splitCost = reader.prefillMillis(call) + move + streamCost(call, writer);
+        if (reader != writer && splitCost < singleCost) {
+            return new Pair(reader, writer, reason("split, predicted cost %.0f ms", splitCost));
+        }
+        return new Pair(single, single, reason("whole, predicted cost %.0f ms", singleCost));
+    }
+
+    private double streamCost(Call call, EndpointState state) {
+        double tokens = Math.min(INTERVAL_WEIGHT_TOKENS, call.outputTokens());
+        return state.intervalMillis() * tokens + distance(call, state);
+    }
+
+    private double loadCost(Call call, EndpointState state) {
+        return (double) state.requests() / state.maximumStreams() * INTERVAL_WEIGHT_TOKENS
+                + distance(call, state);
+    }
+
+    private double distance(Call call, EndpointState state) {
+        boolean near = state.description().failureDomain().equals(mFailureDomain);
+        double distance = near ? 0 : OTHER_DOMAIN_MILLIS;
+        boolean steadyForMovable =
+                call.workClass().reclaimable() && !state.description().reclaimable();
+        return steadyForMovable ? distance + STEADY_FOR_MOVABLE_MILLIS : distance;
+    }
+
+    private static EndpointState least(
+            List<EndpointState> states, ToDoubleFunction<EndpointState> cost) {
+        return states.stream().min(Comparator.comparingDouble(cost)).orElseThrow();
+    }
+
+    private static String reason(String format, double cost) {
+        return String.format(Locale.ROOT, format, cost);
+    }
+
+    /** The endpoint that reads a prompt and the one that answers. */
+    record Pair(EndpointState prefill, EndpointState decode, String reason) {}
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/engine/PromptBlocks.java
@@ -0,0 +1,54 @@
+package org.vanilladoor.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.vanilladoor.common.Digests;
+
+/**
+ * Estimates a prompt's length and digests its blocks.
+ *
+ * <p>A block's digest covers everything before it, so equal digests mean equal prefixes. The digest
+ * begins with a scope, so that prompts of different scopes never share a block. Stateless and safe
+ * for use by any thread.
+ */
+public final class PromptBlocks {
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int CHARACTERS_PER_BLOCK =
+            CHARACTERS_PER_TOKEN * EngineProfile.TOKENS_PER_BLOCK;
+    private static final int MAXIMUM_BLOCKS = 4_096;
+
+    private PromptBlocks() {}
+
+    /** Returns the text of the prompt in a request of either completion interface. */
+    public static String promptText(JsonNode body) {
+        if (body.has("prompt")) {
+            return body.path("prompt").asText();
+        }
+        StringBuilder text = new StringBuilder();
+        for (JsonNode message : body.path("messages")) {
+            text.append(message.path("role").asText()).append('\n');
+            text.append(message.path("content").asText()).append('\n');
+        }
+        return text.toString();
+    }
+
+    /** Returns the estimated number of tokens, at least 1. */
+    public static int estimateTokens(String prompt) {
+        return Math.max(1, prompt.length() / CHARACTERS_PER_TOKEN);
+    }
+
+    /** Returns the digests of the whole blocks of a prompt. */
+    public static List<Long> digests(String scope, String prompt) {
+        List<Long> digests = new ArrayList<>();
+        long previous = Digests.placement(scope);
+        int blocks = Math.min(MAXIMUM_BLOCKS, prompt.length() / CHARACTERS_PER_BLOCK);
+        for (int i = 0; i < blocks; i++) {
+            int begin = i * CHARACTERS_PER_BLOCK;
+            String block = prompt.substring(begin, begin + CHARACTERS_PER_BLOCK);
+            previous = Digests.placement(previous + ":" + block);
+            digests.add(previous);
+        }
+        return digests;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/entry/LeasedScope.java
@@ -0,0 +1,25 @@
+package org.vanilladoor.entry;
+
+import org.vanilladoor.authority.LeaseCore;
+import org.vanilladoor.authority.LeaseKeeper;
+import org.vanilladoor.authority.LeaseTiming;
+import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.order.OrderCore;
+import org.vanilladoor.platform.ObjectStore;
+
+/**
+ * A scope of orders with the lease that gives the right to act in it.
+ *
+ * <p>Belongs to the control thread.
+ *
+ * @param name name of the scope
+ * @param lease its lease
+ * @param orders its orders
+ */
+record LeasedScope(String name, LeaseCore lease, OrderCore orders) {
+    static LeasedScope start(ControlLoop control, ObjectStore store, String name, String self) {
+        LeaseCore lease = LeaseCore.create(self, LeaseTiming.standard());
+        LeaseKeeper.start(control, store, "lease/" + name, lease);
+        return new LeasedScope(name, lease, OrderCore.create(name, self, lease));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/http/HttpExchange.java
@@ -0,0 +1,163 @@
+package org.vanilladoor.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.EntityTemplate;
+
+/**
+ * One request and its answer on a server.
+ *
+ * <p>Invariant: exactly one reply method is called. Used by the one thread that serves the
+ * connection.
+ */
+public final class HttpExchange {
+    private static final int COPY_BYTES = 8192;
+    private final ClassicHttpRequest mRequest;
+    private final ClassicHttpResponse mResponse;
+    private final URI mUri;
+
+    private HttpExchange(ClassicHttpRequest request, ClassicHttpResponse response, URI uri) {
+        mRequest = request;
+        mResponse = response;
+        mUri = uri;
+    }
+
+    static HttpExchange create(ClassicHttpRequest request, ClassicHttpResponse response) {
+        try {
+            return new HttpExchange(request, response, new URI(request.getRequestUri()));
+        } catch (URISyntaxException e) {
+            throw new ProblemException(
+                    Problem.notRun(400, "malformed-target", "The request target is no URI."));
+        }
+    }
+
+    /** Returns the method in upper case. */
+    public String method() {
+        return mRequest.getMethod();
+    }
+
+    /** Returns the decoded path without the query. */
+    public String path() {
+        return mUri.getPath() == null ? "/" : mUri.getPath();
+    }
+
+    /** Returns the target as it was sent, path and query. */
+    public String target() {
+        return mRequest.getRequestUri();
+    }
+
+    /** Returns the decoded value of a query parameter. */
+    public Optional<String> query(String name) {
+        String query = mUri.getRawQuery();
+        if (query == null) {
+            return Optional.empty();
+        }
+        for (String pair : query.split("&")) {
+            int equals = pair.indexOf('=');
+            if (equals > 0 && pair.substring(0, equals).equals(name)) {
+                String value = pair.substring(equals + 1);
+                return Optional.of(URLDecoder.decode(value, StandardCharsets.UTF_8));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the value of a header that stands at most once. */
+    public Optional<String> header(String name) {
+        Header[] headers = mRequest.getHeaders(name);
+        if (headers.length > 1) {
+            throw new ProblemException(
+                    Problem.notRun(400, "repeated-header", "Header stands twice: " + name));
+        }
+        return headers.length == 0 ? Optional.empty() : Optional.of(headers[0].getValue());
+    }
+
+    /**
+     * Reads the whole body.
+     *
+     * @param maximumBytes limit of the body's length
+     * @throws ProblemException if the body is longer than the limit
+     */
+    public byte[] readBody(int maximumBytes) throws IOException {
+        HttpEntity entity = mRequest.getEntity();
+        if (entity == null) {
+            return new byte[0];
+        }
+        if (entity.getContentLength() > maximumBytes) {
+            throw tooLarge(maximumBytes);
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        InputStream content = entity.getContent();
+        byte[] buffer = new byte[COPY_BYTES];
+        for (int count = content.read(buffer); count >= 0; count = content.read(buffer)) {
+            body.write(buffer, 0, count);
+            if (body.size() > maximumBytes) {
+                throw tooLarge(maximumBytes);
+            }
+        }
+        return body.toByteArray();
+    }
+
+    /** Sets a header of the answer. */
+    public void setReplyHeader(String name, String value) {
+        mResponse.setHeader(name, value);
+    }
+
+    /** Answers with a body held in memory. */
+    public void reply(int status, String contentType, byte[] body) {
+        mResponse.setCode(status);
+        mResponse.setEntity(new ByteArrayEntity(body, ContentType.parse(contentType)));
+    }
+
+    /** Answers with JSON in UTF-8. */
+    public void replyJson(int status, byte[] json) {
+        reply(status, "application/json", json);
+    }
+
+    /** Answers with a problem document. */
+    public void reply(Problem problem) {
+        if (problem.retryAfterSeconds() > 0) {
+            setReplyHeader("Retry-After", Integer.toString(problem.retryAfterSeconds()));
+        }
+        reply(problem.status(), "application/problem+json", problem.toJson());
+    }
+
+    /** Answers with a body that the writer produces while the caller reads it. */
+    public void replyStream(int status, String contentType, StreamWriter writer) {
+        mResponse.setCode(status);
+        mResponse.setEntity(
+                new EntityTemplate(-1, ContentType.parse(contentType), null, writer::write));
+    }
+
+    private ProblemException tooLarge(int maximumBytes) {
+        mResponse.setHeader("Connection", "close");
+        return new ProblemException(
+                Problem.notRun(
+                        413, "body-too-large", "The body is over " + maximumBytes + " bytes."));
+    }
+
+    /** Writes the body of an answer while it is produced; runs on the connection's thread. */
+    @FunctionalInterface
+    public interface StreamWriter {
+        /**
+         * Writes the whole body.
+         *
+         * @throws IOException if the caller left or the body can't be completed; the connection is
+         *     then closed without an end marker
+         */
+        void write(OutputStream output) throws IOException;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/http/HttpReply.java
@@ -0,0 +1,110 @@
+package org.vanilladoor.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.io.CloseMode;
+import org.vanilladoor.common.HostPort;
+
+/**
+ * The answer to a sent request, with its body still to be read.
+ *
+ * <p>Invariant: closing before the body was read to its end closes the connection, so that the rest
+ * of the answer can't be taken for the answer to another request. {@link #close} may be called by
+ * any thread; the rest belongs to one thread.
+ */
+public final class HttpReply implements AutoCloseable {
+    private static final int COPY_BYTES = 8192;
+    private final HttpLinks mLinks;
+    private final HostPort mAddress;
+    private final DefaultBHttpClientConnection mConnection;
+    private final ClassicHttpResponse mResponse;
+    private boolean mWholeBodyRead;
+
+    private HttpReply(
+            HttpLinks links,
+            HostPort address,
+            DefaultBHttpClientConnection connection,
+            ClassicHttpResponse response) {
+        mLinks = links;
+        mAddress = address;
+        mConnection = connection;
+        mResponse = response;
+    }
+
+    static HttpReply create(
+            HttpLinks links,
+            HostPort address,
+            DefaultBHttpClientConnection connection,
+            ClassicHttpResponse response) {
+        return new HttpReply(links, address, connection, response);
+    }
+
+    /** Returns the HTTP status. */
+    public int status() {
+        return mResponse.getCode();
+    }
+
+    /** Returns the value of a header. */
+    public Optional<String> header(String name) {
+        Header header = mResponse.getFirstHeader(name);
+        return header == null ? Optional.empty() : Optional.of(header.getValue());
+    }
+
+    /** Returns the content type, with a default for answers that name none. */
+    public String contentType() {
+        return header("Content-Type").orElse("application/octet-stream");
+    }
+
+    /**
+     * Reads some bytes of the body.
+     *
+     * @return the number of bytes, or -1 at the end of a whole body
+     * @throws IOException if the body ends short of its length or end marker
+     */
+    public int read(byte[] buffer) throws IOException {
+        InputStream content = content();
+        int count = content == null ? -1 : content.read(buffer);
+        if (count < 0) {
+            mWholeBodyRead = true;
+        }
+        return count;
+    }
+
+    /**
+     * Reads the whole body.
+     *
+     * @throws IOException if the body ends short or is longer than the limit
+     */
+    public byte[] readAll(int maximumBytes) throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        byte[] buffer = new byte[COPY_BYTES];
+        for (int count = read(buffer); count >= 0; count = read(buffer)) {
+            body.write(buffer, 0, count);
+            if (body.size() > maximumBytes) {
+                throw new IOException("answer is over " + maximumBytes + " bytes");
+            }
+        }
+        return body.toByteArray();
+    }
+
+    @Override
+    public void close() {
+        boolean kept = header("Connection").filter("close"::equalsIgnoreCase).isEmpty();
+        if (mWholeBodyRead && kept && mConnection.isOpen()) {
+            mLinks.keep(mAddress, mConnection);
+        } else {
+            mConnection.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    private InputStream content() throws IOException {
+        HttpEntity entity = mResponse.getEntity();
+        return entity == null ? null : entity.getContent();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/http/Problem.java
@@ -0,0 +1,60 @@
+package org.vanilladoor.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Objects;
+import org.vanilladoor.common.Json;
+
+/**
+ * A problem document as of RFC 9457, with the member {@code ran}.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param status HTTP status
+ * @param type short machine-readable kind of the problem
+ * @param detail what is wrong, with the value at fault
+ * @param ran whether the request ran
+ * @param attemptHandedOver whether this attempt was handed to an endpoint; with an idempotency key
+ *     this can be known while {@code ran} is not
+ * @param retryAfterSeconds seconds after which a retry may help, 0 if waiting does not help
+ */
+public record Problem(
+        int status,
+        String type,
+        String detail,
+        Ran ran,
+        boolean attemptHandedOver,
+        int retryAfterSeconds) {
+    public Problem {
+        Objects.requireNonNull(type, "type");
+        Objects.requireNonNull(detail, "detail");
+        Objects.requireNonNull(ran, "ran");
+    }
+
+    /** Returns the problem of a request that was not run and for which waiting does not help. */
+    public static Problem notRun(int status, String type, String detail) {
+        return new Problem(status, type, detail, Ran.NO, false, 0);
+    }
+
+    /** Returns the problem of a request that was not run and may be sent again later. */
+    public static Problem notRunRetryAfter(
+            int status, String type, String detail, int retryAfterSeconds) {
+        return new Problem(status, type, detail, Ran.NO, false, retryAfterSeconds);
+    }
+
+    /** Returns the problem of a request that an endpoint may have run. */
+    public static Problem unknown(int status, String type, String detail, boolean handedOver) {
+        return new Problem(status, type, detail, Ran.UNKNOWN, handedOver, 0);
+    }
+
+    /** Returns the document in UTF-8. */
+    public byte[] toJson() {
+        ObjectNode document = Json.newObject();
+        document.put("type", "urn:vanilladoor:problem:" + type);
+        document.put("title", type.replace('-', ' '));
+        document.put("status", status);
+        document.put("detail", detail);
+        document.put("ran", ran.wireName());
+        document.put("attempt_handed_over", attemptHandedOver);
+        return Json.write(document);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/http/ProblemException.java
@@ -0,0 +1,22 @@
+package org.vanilladoor.http;
+
+/**
+ * Ends the handling of a request with a problem document.
+ *
+ * <p>Immutable and safe for use by any thread.
+ */
+public final class ProblemException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+    private final transient Problem mProblem;
+
+    /** Creates the failure that answers a request with the given problem. */
+    public ProblemException(Problem problem) {
+        super(problem.detail());
+        mProblem = problem;
+    }
+
+    /** Returns the document to answer with. */
+    public Problem problem() {
+        return mProblem;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/platform/FleetOrder.java
@@ -0,0 +1,35 @@
+package org.vanilladoor.platform;
+
+import java.util.Objects;
+
+/**
+ * An order to the platform to start or release endpoints of a pool in a failure domain.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param identifier unique identifier of the order
+ * @param term term of the lease under which it was written
+ * @param sender incarnation of the process that sends it
+ * @param failureDomain failure domain it is about
+ * @param pool name of the model or service
+ * @param reclaimable whether it is about cheaper endpoints that may be reclaimed
+ * @param count how many endpoints of that kind shall run
+ */
+public record FleetOrder(
+        String identifier,
+        long term,
+        String sender,
+        String failureDomain,
+        String pool,
+        boolean reclaimable,
+        int count) {
+    public FleetOrder {
+        Objects.requireNonNull(identifier, "identifier");
+        Objects.requireNonNull(sender, "sender");
+        Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(pool, "pool");
+        if (count < 0) {
+            throw new IllegalArgumentException("count is negative: " + count);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/standin/EngineStandIn.java
@@ -0,0 +1,331 @@
+package org.vanilladoor.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.Json;
+import org.vanilladoor.endpoint.LoadReport;
+import org.vanilladoor.engine.EngineJob;
+import org.vanilladoor.engine.EngineModel;
+import org.vanilladoor.engine.EngineProfile;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.engine.PromptBlocks;
+import org.vanilladoor.http.HttpExchange;
+import org.vanilladoor.http.HttpService;
+import org.vanilladoor.http.Problem;
+import org.vanilladoor.http.ProblemException;
+
+/**
+ * A small stand-in for a model engine, over HTTP, with the timing of {@link EngineModel}.
+ *
+ * <p>Paths: {@code /v1/chat/completions}, {@code /v1/completions}, {@code /v1/prefill}, {@code
+ * /v1/resume/ID}, {@code /load}, {@code /orders}, and for tests {@code /faults} and {@code
+ * /record}. Safe for use by any thread; one lock guards the engine.
+ */
+public final class EngineStandIn implements AutoCloseable {
+    private static final int MAXIMUM_BODY_BYTES = 64 * 1_024 * 1_024;
+    private static final long TICK_MILLIS = 5;
+    private static final int DEFAULT_OUTPUT_TOKENS = 16;
+    private static final Duration IDLE = Duration.ofMinutes(5);
+    private final String mModelName;
+    private final boolean mChecksTerms;
+    private final EngineModel mModel;
+    private final ScheduledExecutorService mTicker;
+    private final Map<String, EngineJob> mJobs = new HashMap<>();
+    private final Deque<TimedLoad> mLoads = new ArrayDeque<>();
+    private final List<String> mRequests = new ArrayList<>();
+    private final Set<String> mCredentials = new LinkedHashSet<>();
+    private final List<RoleOrder> mOrders = new ArrayList<>();
+    private final List<RoleOrder> mRefusedOrders = new ArrayList<>();
+    private EngineFaults mFaults = EngineFaults.NONE;
+    private String mAppliedOrder = "";
+    private long mHighestTerm;
+    private int mCut;
+    private int mCancelled;
+    private HttpService mService;
+
+    private EngineStandIn(
+            String modelName, boolean checksTerms, EngineModel model, String threadName) {
+        mModelName = modelName;
+        mChecksTerms = checksTerms;
+        mModel = model;
+        mTicker =
+                Executors.newSingleThreadScheduledExecutor(
+                        task -> {
+                            Thread thread = new Thread(task, threadName);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+    }
+
+    /**
+     * Starts an engine.
+     *
+     * @param address where it answers
+     * @param modelName model it serves
+     * @param profile its speeds and sizes
+     * @param role role it begins with
+     * @param checksTerms whether it refuses orders with an old term
+     * @throws IOException if the address can't be bound
+     */
+    public static EngineStandIn start(
+            HostPort address,
+            String modelName,
+            EngineProfile profile,
+            EngineRole role,
+            boolean checksTerms)
+            throws IOException {
+        EngineModel model = EngineModel.create(profile, role, nowMillis());
+        EngineStandIn engine =
+                new EngineStandIn(modelName, checksTerms, model, "engine-" + address.port());
+        engine.mService = HttpService.start("engine", address, IDLE, null, engine::handle);
+        engine.mTicker.scheduleAtFixedRate(
+                engine::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        return engine;
+    }
+
+    /** Returns the address in use. */
+    public HostPort address() {
+        return mService.address();
+    }
+
+    /** Shows the given faults from now on. */
+    public synchronized void setFaults(EngineFaults faults) {
+        mFaults = faults;
+    }
+
+    /** Returns what has reached the engine. */
+    public synchronized EndpointRecord record() {
+        return new EndpointRecord(
+                mRequests,
+                List.of(),
+                List.copyOf(mCredentials),
+                mOrders,
+                mRefusedOrders,
+                mCut,
+                mCancelled);
+    }
+
+    @Override
+    public void close() {
+        mTicker.shutdownNow();
+        mService.close();
+    }
+
+    private synchronized void tick() {
+        long now = nowMillis();
+        mModel.advanceTo(now);
+        mLoads.addLast(new TimedLoad(now, currentLoad()));
+        while (mLoads.size() > 1 && mLoads.getFirst().atMillis() < now - mFaults.loadLagMillis()) {
+            mLoads.removeFirst();
+        }
+        notifyAll();
+    }
+
+    private LoadReport currentLoad() {
+        return new LoadReport(
+                mModel.role(),
+                mModel.isChanging(),
+                mModel.requests(),
+                mModel.waitingPromptTokens(),
+                mModel.profile().maximumStreams(),
+                mAppliedOrder,
+                mFaults.leaving());
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        String path = exchange.path();
+        switch (path) {
+            case "/v1/chat/completions", "/v1/completions", "/v1/prefill" ->
+                    complete(exchange, path);
+            case "/load" -> exchange.replyJson(200, Json.write(reportedLoad()));
+            case "/orders" -> order(exchange);
+            case "/faults" -> {
+                setFaults(Json.read(exchange.readBody(MAXIMUM_BODY_BYTES), EngineFaults.class));
+                exchange.replyJson(200, Json.write(true));
+            }
+            case "/record" -> exchange.replyJson(200, Json.write(record()));
+            default -> {
+                if (!path.startsWith("/v1/resume/")) {
+                    throw new ProblemException(Problem.notRun(404, "unknown-path", path));
+                }
+                resume(exchange, path.substring("/v1/resume/".length()));
+            }
+        }
+    }
+
+    private synchronized LoadReport reportedLoad() {
+        return mLoads.isEmpty() ? currentLoad() : mLoads.getFirst().load();
+    }
+
+    private void complete(HttpExchange exchange, String path) throws IOException {
+        String identifier = exchange.header("X-Request-Id").orElse("none");
+        JsonNode body = Json.readTree(exchange.readBody(MAXIMUM_BODY_BYTES));
+        EngineJob job = job(exchange, path, identifier, body);
+        synchronized (this) {
+            exchange.header("Authorization").ifPresent(mCredentials::add);
+            mRequests.add(identifier);
+            refuseWhileChanging();
+            mJobs.put(identifier, job);
+            mModel.submit(job);
+        }
+        EngineFaults faults = faults();
+        exchange.setReplyHeader(
+                "X-Request-Id", faults.wrongIdentifier() ? "another-request" : identifier);
+        if (body.path("stream").asBoolean(false) && !path.equals("/v1/prefill")) {
+            exchange.replyStream(200, "text/event-stream", output -> stream(output, job, body, 0));
+        } else {
+            answerWhole(exchange, job, body);
+        }
+    }
+
+    private EngineJob job(HttpExchange exchange, String path, String identifier, JsonNode body) {
+        String prompt = PromptBlocks.promptText(body);
+        int tokens = PromptBlocks.estimateTokens(prompt);
+        EngineJob.Scope scope = EngineJob.Scope.WHOLE;
+        if (path.equals("/v1/prefill")) {
+            scope = EngineJob.Scope.PREFILL_ONLY;
+        } else if (exchange.header("X-Kv-Source").isPresent()) {
+            scope = EngineJob.Scope.DECODE_ONLY;
+        }
+        return EngineJob.create(
+                identifier,
+                exchange.header("X-Priority").map(Integer::parseInt).orElse(1),
+                tokens,
+                body.path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS),
+                PromptBlocks.digests(mModelName, prompt),
+                scope);
+    }
+
+    private void resume(HttpExchange exchange, String identifier) {
+        EngineJob job;
+        synchronized (this) {
+            job = mJobs.get(identifier);
+        }
+        if (job == null || job.isCut()) {
+            throw new ProblemException(Problem.notRun(404, "unknown-request", identifier));
+        }
+        int from = exchange.query("from").map(Integer::parseInt).orElse(0);
+        exchange.setReplyHeader("X-Request-Id", identifier);
+        exchange.replyStream(
+                200, "text/event-stream", output -> stream(output, job, Json.newObject(), from));
+    }
+
+    private void answerWhole(HttpExchange exchange, EngineJob job, JsonNode body)
+            throws IOException {
+        int tokens = awaitTokens(job, job.outputTokens());
+        EngineFaults faults = faults();
+        if (tokens < 0 || faults.silent()) {
+            throw new IOException("request was cut");
+        }
+        byte[] answer = StandInAnswers.whole(mModelName, job, body);
+        if (faults.shortAnswers()) {
+            exchange.replyStream(
+                    200,
+                    "application/json",
+                    output -> {
+                        output.write(answer, 0, answer.length / 2);
+                        output.flush();
+                        throw new IOException("answer ends short");
+                    });
+        } else {
+            exchange.replyJson(200, answer);
+        }
+    }
+
+    private void stream(OutputStream output, EngineJob job, JsonNode body, int from)
+            throws IOException {
+        int sent = from;
+        try {
+            while (sent < job.outputTokens()) {
+                int generated = awaitTokens(job, sent + 1);
+                EngineFaults faults = faults();
+                boolean cut = faults.cutAfterTokens() > 0 && from == 0;
+                if (generated < 0 || faults.silent() || cut && sent >= faults.cutAfterTokens()) {
+                    throw new IOException("stream was cut");
+                }
+                for (; sent < generated; sent++) {
+                    output.write(StandInAnswers.tokenEvent(mModelName, job.identifier(), sent));
+                }
+                output.flush();
+            }
+            if (body.path("stream_options").path("include_usage").asBoolean(false)) {
+                output.write(StandInAnswers.usageEvent(mModelName, job, body));
+            }
+            output.write("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            callerLeft(job);
+            throw e;
+        }
+    }
+
+    private synchronized void callerLeft(EngineJob job) {
+        if (mFaults.cutAfterTokens() == 0) {
+            mModel.cancel(job);
+            mCancelled++;
+        }
+    }
+
+    /** Waits for generated tokens; returns how many there are, or -1 if the request was cut. */
+    private synchronized int awaitTokens(EngineJob job, int tokens) throws IOException {
+        try {
+            while (!job.isCut() && !job.isDone() && job.generatedTokens() < tokens) {
+                wait();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("engine stops", e);
+        }
+        return job.isCut() ? -1 : job.isDone() ? job.outputTokens() : job.generatedTokens();
+    }
+
+    private void order(HttpExchange exchange) throws IOException {
+        RoleOrder order = Json.read(exchange.readBody(MAXIMUM_BODY_BYTES), RoleOrder.class);
+        synchronized (this) {
+            if (mChecksTerms && order.term() < mHighestTerm) {
+                mRefusedOrders.add(order);
+                throw new ProblemException(
+                        Problem.notRun(409, "old-term", "Term " + order.term() + " is over."));
+            }
+            mHighestTerm = Math.max(mHighestTerm, order.term());
+            mCut += mModel.requests();
+            mModel.changeRole(order.role());
+            mAppliedOrder = order.identifier();
+            mOrders.add(order);
+            notifyAll();
+        }
+        exchange.replyJson(200, Json.write(true));
+    }
+
+    private void refuseWhileChanging() {
+        if (mModel.isChanging()) {
+            throw new ProblemException(
+                    Problem.notRun(503, "role-change", "The engine changes its role."));
+        }
+    }
+
+    private synchronized EngineFaults faults() {
+        return mFaults;
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** A load report with the time it was taken. */
+    private record TimedLoad(long atMillis, LoadReport load) {}
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/standin/StandInSettings.java
@@ -0,0 +1,125 @@
+package org.vanilladoor.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.engine.EngineProfile;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.platform.EndpointDescription;
+import org.vanilladoor.platform.VirtualMachine;
+import org.vanilladoor.settings.TomlSection;
+
+/**
+ * The settings of the stand-ins that one process runs.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param platformAddress where the platform answers, port 0 for a free one
+ * @param endpoints endpoints in the order in which they are started
+ * @param machines VMs that the platform lists
+ */
+public record StandInSettings(
+        HostPort platformAddress, List<StandInEndpoint> endpoints, List<VirtualMachine> machines) {
+    private static final double STEADY_COST_PER_HOUR = 4.0;
+    private static final int MAXIMUM_MILLIS = 60_000;
+    private static final int DEFAULT_SERVICE_MILLIS = 5;
+
+    public StandInSettings {
+        endpoints = List.copyOf(endpoints);
+        machines = List.copyOf(machines);
+    }
+
+    /**
+     * Returns the settings written in TOML.
+     *
+     * @param file name for the findings
+     * @param text the file's text
+     * @throws org.vanilladoor.common.InvalidInputException with every finding
+     */
+    public static StandInSettings parse(String file, String text) {
+        TomlSection top = TomlSection.parse(file, text);
+        HostPort platform = top.section("platform").address("address");
+        List<StandInEndpoint> endpoints = new ArrayList<>();
+        for (TomlSection section : top.sections("engine")) {
+            endpoints.add(engine(section));
+        }
+        for (TomlSection section : top.sections("service")) {
+            endpoints.add(service(section));
+        }
+        List<VirtualMachine> machines = new ArrayList<>();
+        for (TomlSection section : top.sections("machine")) {
+            String name = section.text("name");
+            machines.add(
+                    new VirtualMachine(
+                            name, name, section.text("failure_domain"), VirtualMachine.State.LIVE));
+        }
+        top.throwIfInvalid();
+        return new StandInSettings(platform, endpoints, machines);
+    }
+
+    private static StandInEndpoint engine(TomlSection section) {
+        EngineProfile standard = EngineProfile.standard();
+        EngineProfile profile =
+                new EngineProfile(
+                        section.number(
+                                "prefill_tokens_per_second",
+                                1,
+                                1e9,
+                                standard.prefillTokensPerSecond()),
+                        section.number("decode_ms", 0.001, MAXIMUM_MILLIS, standard.decodeMillis()),
+                        section.number(
+                                "decode_ms_per_stream",
+                                0,
+                                MAXIMUM_MILLIS,
+                                standard.decodeMillisPerStream()),
+                        (int) section.integer("streams", 1, 10_000, standard.maximumStreams()),
+                        (int) section.integer("cache_blocks", 0, 1_000_000, standard.cacheBlocks()),
+                        (int)
+                                section.integer(
+                                        "role_change_ms",
+                                        0,
+                                        MAXIMUM_MILLIS,
+                                        standard.roleChangeMillis()));
+        EngineRole role = section.choice("role", EngineRole.class, EngineRole.MIXED);
+        return new StandInEndpoint(description(section, "model", true), profile, role, 0);
+    }
+
+    private static StandInEndpoint service(TomlSection section) {
+        int millis = (int) section.integer("service_ms", 0, MAXIMUM_MILLIS, DEFAULT_SERVICE_MILLIS);
+        return new StandInEndpoint(
+                description(section, "service", false),
+                EngineProfile.standard(),
+                EngineRole.MIXED,
+                millis);
+    }
+
+    private static EndpointDescription description(
+            TomlSection section, String poolKey, boolean engine) {
+        return new EndpointDescription(
+                section.text("name"),
+                section.text(poolKey),
+                engine,
+                section.text("failure_domain"),
+                section.address("address").toString(),
+                section.flag("reclaimable", false),
+                section.flag("checks_terms", true),
+                false,
+                section.number("cost_per_hour", 0, 1e6, STEADY_COST_PER_HOUR));
+    }
+
+    /**
+     * One endpoint to start.
+     *
+     * <p>Immutable and safe for use by any thread.
+     *
+     * @param description what the platform lists
+     * @param profile speeds and sizes of an engine
+     * @param role role an engine begins with
+     * @param serviceMillis how long a call of a plain service takes
+     */
+    public record StandInEndpoint(
+            EndpointDescription description,
+            EngineProfile profile,
+            EngineRole role,
+            int serviceMillis) {}
+}
