--- a/src/main/java/org/vanilladoor/claim/ClaimShard.java
+++ b/src/main/java/org/vanilladoor/claim/ClaimShard.java
@@ -152,6 +152,13 @@
         if (failure != null) {
             return;
         }
+        if (found.isEmpty() && mCurrentVersion != ObjectStore.ABSENT) {
+            // The segment expired and was dropped while this process did not look.
+            mCurrentVersion = ObjectStore.ABSENT;
+            mCurrent = ClaimSegment.first();
+            load();
+            return;
+        }
         if (found.isPresent()) {
             take(
                     Json.read(found.get().content(), new TypeReference<ClaimSegment>() {}),
--- a/src/main/java/org/vanilladoor/dispatch/FairQueue.java
+++ b/src/main/java/org/vanilladoor/dispatch/FairQueue.java
@@ -13,9 +13,10 @@
 /**
  * The waiting calls of one pool.
  *
- * <p>A team's calls wait by earliest first-token deadline; between teams the one served least
- * against its share goes first. A team that comes back from idleness starts level with the least
- * served one, so that idleness saves nothing up. Belongs to the control thread.
+ * <p>A team's calls of a class wait by earliest first-token deadline; between teams the one served
+ * least against its share goes first. Classes wait apart, so that a call which finds no endpoint
+ * holds up no call of another class. A team that comes back from idleness starts level with the
+ * least served one, so that idleness saves nothing up. Belongs to the control thread.
  */
 final class FairQueue {
     private static final Comparator<Call> BY_DEADLINE =
@@ -24,7 +25,7 @@
                     .thenComparing(Call::identifier);
     private final Policies.Fairness mFairness;
     private final ToDoubleFunction<String> mShareOfTeam;
-    private final Map<String, PriorityQueue<Call>> mWaiting = new TreeMap<>();
+    private final Map<Line, PriorityQueue<Call>> mWaiting = new TreeMap<>();
     private final Map<String, Double> mServed = new HashMap<>();
     private int mSize;
 
@@ -38,29 +39,31 @@
     }
 
     void add(Call call) {
-        PriorityQueue<Call> calls = mWaiting.get(call.team());
+        PriorityQueue<Call> calls = mWaiting.get(Line.of(call));
         if (calls == null) {
             liftToLeastServed(call.team());
             calls = new PriorityQueue<>(BY_DEADLINE);
-            mWaiting.put(call.team(), calls);
+            mWaiting.put(Line.of(call), calls);
         }
         calls.add(call);
         mSize++;
     }
 
     boolean remove(Call call) {
-        PriorityQueue<Call> calls = mWaiting.get(call.team());
+        PriorityQueue<Call> calls = mWaiting.get(Line.of(call));
         if (calls == null || !calls.remove(call)) {
             return false;
         }
         if (calls.isEmpty()) {
-            mWaiting.remove(call.team());
+            mWaiting.remove(Line.of(call));
         }
         mSize--;
         return true;
     }
 
-    /** Returns the first call of each team, in the order in which they should be served. */
+    /**
+     * Returns the first call of each team and class, in the order in which they should be served.
+     */
     List<Call> heads() {
         List<Call> heads = new ArrayList<>();
         mWaiting.values().forEach(calls -> heads.add(calls.peek()));
@@ -99,8 +102,21 @@
 
     private void liftToLeastServed(String team) {
         mWaiting.keySet().stream()
-                .mapToDouble(this::served)
+                .mapToDouble(line -> served(line.team()))
                 .min()
                 .ifPresent(least -> mServed.merge(team, least, Math::max));
     }
+
+    /** Names where calls wait one behind the other. */
+    private record Line(String team, String workClass) implements Comparable<Line> {
+        static Line of(Call call) {
+            return new Line(call.team(), call.workClass().name());
+        }
+
+        @Override
+        public int compareTo(Line other) {
+            int order = team.compareTo(other.team);
+            return order != 0 ? order : workClass.compareTo(other.workClass);
+        }
+    }
 }
--- a/src/main/java/org/vanilladoor/settings/TomlSection.java
+++ b/src/main/java/org/vanilladoor/settings/TomlSection.java
@@ -44,6 +44,7 @@
      *
      * @param file name for the findings
      * @param text the file's text
+     * @throws InvalidInputException with every place at which the text is not TOML
      */
     public static TomlSection parse(String file, String text) {
         TomlParseResult result = Toml.parse(text);
@@ -57,6 +58,9 @@
                                                 error.position().line(),
                                                 "",
                                                 error.getMessage())));
+        if (!findings.isEmpty()) {
+            throw new InvalidInputException(findings);
+        }
         return new TomlSection(file, "", result, 0, findings);
     }
 
--- /dev/null
+++ b/src/test/java/org/vanilladoor/authority/LeaseCoreTests.java
@@ -0,0 +1,114 @@
+package org.vanilladoor.authority;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.common.Json;
+import org.vanilladoor.platform.StoredObject;
+
+class LeaseCoreTests {
+    private static final LeaseTiming TIMING = new LeaseTiming(4_000, 500);
+    private long mVersion;
+    private StoredObject mObject;
+
+    private LeaseCore core(String name) {
+        LeaseCore core = LeaseCore.create(name, TIMING);
+        core.want(true);
+        return core;
+    }
+
+    private LeaseStep.Write write(LeaseCore core, long now) {
+        LeaseStep step = core.next(now);
+        while (step instanceof LeaseStep.Read) {
+            core.read(Optional.ofNullable(mObject), now);
+            step = core.next(now);
+        }
+        return (LeaseStep.Write) step;
+    }
+
+    private void commit(LeaseCore core, LeaseStep.Write write, long now) {
+        store(write);
+        core.written(mVersion, now);
+    }
+
+    private void store(LeaseStep.Write write) {
+        mVersion++;
+        mObject = new StoredObject("lease", mVersion, Json.write(write.record()));
+    }
+
+    @Test
+    void itsTrustCountsFromWhenTheRenewalWasSent() {
+        LeaseCore core = core("a");
+        LeaseStep.Write write = write(core, 1_000);
+        commit(core, write, 3_000);
+        assertThat(core.isHeld(4_499)).isTrue();
+        assertThat(core.isHeld(4_500)).isFalse();
+    }
+
+    @Test
+    void aCandidateWaitsForLengthAndMarginOnItsOwnClock() {
+        LeaseCore holder = core("a");
+        commit(holder, write(holder, 1_000), 1_000);
+        LeaseCore candidate = core("b");
+        candidate.next(2_000);
+        candidate.read(Optional.of(mObject), 2_000);
+        assertThat(candidate.next(2_001)).isEqualTo(new LeaseStep.Wait());
+        candidate.next(6_400);
+        candidate.read(Optional.of(mObject), 6_400);
+        assertThat(candidate.next(6_499)).isEqualTo(new LeaseStep.Wait());
+        LeaseStep.Write taking = (LeaseStep.Write) candidate.next(6_500);
+        assertThat(taking.record().term()).isEqualTo(2);
+    }
+
+    @Test
+    void aReleasedLeaseIsTakenAtOnceWithItsPayload() {
+        LeaseCore holder = core("a");
+        commit(holder, write(holder, 1_000), 1_000);
+        holder.propose("payload", 1_100);
+        commit(holder, write(holder, 1_100), 1_100);
+        holder.want(false);
+        commit(holder, write(holder, 1_200), 1_200);
+        assertThat(holder.isHeld(1_201)).isFalse();
+        LeaseCore next = core("b");
+        LeaseStep.Write taking = write(next, 1_300);
+        assertThat(taking.record().payload()).isEqualTo("payload");
+        assertThat(taking.record().term()).isEqualTo(2);
+    }
+
+    @Test
+    void aLostAnswerIsSettledByReadingBack() {
+        LeaseCore core = core("a");
+        LeaseStep.Write write = write(core, 1_000);
+        store(write);
+        core.writeFailed();
+        assertThat(core.isHeld(1_100)).isFalse();
+        core.next(1_100);
+        core.read(Optional.of(mObject), 1_200);
+        assertThat(core.isHeld(1_201)).isTrue();
+        assertThat(core.isHeld(4_500)).isFalse();
+    }
+
+    @Test
+    void aHolderWhoseTrustLapsedComesBackUnderANewTerm() {
+        LeaseCore core = core("a");
+        commit(core, write(core, 1_000), 1_000);
+        LeaseStep.Write again = write(core, 20_000);
+        assertThat(again.record().term()).isEqualTo(2);
+    }
+
+    @Test
+    void aHolderThatSeesAnotherOneLosesItsTrust() {
+        LeaseCore core = core("a");
+        commit(core, write(core, 1_000), 1_000);
+        mVersion++;
+        mObject =
+                new StoredObject(
+                        "lease", mVersion, Json.write(new LeaseRecord("b", 1, 2, false, "")));
+        write(core, 2_500);
+        core.writeFailed();
+        core.next(2_600);
+        core.read(Optional.of(mObject), 2_600);
+        assertThat(core.isHeld(2_601)).isFalse();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/claim/ClaimShardTests.java
@@ -0,0 +1,144 @@
+package org.vanilladoor.claim;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.platform.FakeObjectStore;
+import org.vanilladoor.standin.ObjectTable;
+
+class ClaimShardTests {
+    private static final String PREFIX = "claims/0/";
+    private final ObjectTable mTable = ObjectTable.create();
+    private final FakeObjectStore mStore = FakeObjectStore.over(mTable);
+    private long mNow = 1_000;
+    private long mEpoch = 1_000_000;
+    private final ClaimShard mShard = shard(mStore);
+
+    private ClaimShard shard(FakeObjectStore store) {
+        return ClaimShard.create(PREFIX, store, Runnable::run, () -> mNow, () -> mEpoch);
+    }
+
+    private Attempt attempt(String name, String key, String request, ClaimShard shard) {
+        return new Attempt(name, key, request, shard.knownPosition(), mNow + 5_000);
+    }
+
+    private ClaimOutcome settle(CompletableFuture<ClaimOutcome> outcome) {
+        mStore.resolveAll();
+        return outcome.join();
+    }
+
+    @Nested
+    class AClaim {
+        @Test
+        void isGrantedToTheFirstAttempt() {
+            Attempt first = attempt("a", "key", "request", mShard);
+            assertThat(settle(mShard.submit(ClaimRules.CLAIM, first)).kind())
+                    .isEqualTo(ClaimOutcome.Kind.GRANTED);
+        }
+
+        @Test
+        void namesItsHolderToASecondAttempt() {
+            settle(mShard.submit(ClaimRules.CLAIM, attempt("a", "key", "request", mShard)));
+            ClaimOutcome second =
+                    settle(mShard.submit(ClaimRules.CLAIM, attempt("b", "key", "request", mShard)));
+            assertThat(second).isEqualTo(ClaimOutcome.taken("a"));
+        }
+
+        @Test
+        void refusesTheSameKeyWithAnotherRequest() {
+            settle(mShard.submit(ClaimRules.CLAIM, attempt("a", "key", "request", mShard)));
+            ClaimOutcome other =
+                    settle(mShard.submit(ClaimRules.CLAIM, attempt("b", "key", "other", mShard)));
+            assertThat(other).isEqualTo(ClaimOutcome.mismatch());
+        }
+
+        @Test
+        void isSettledAsOwnAfterItsAnswerWasLost() {
+            CompletableFuture<ClaimOutcome> outcome =
+                    mShard.submit(ClaimRules.CLAIM, attempt("a", "key", "request", mShard));
+            mStore.resolve(FakeObjectStore.Fate.ANSWER);
+            mStore.resolve(FakeObjectStore.Fate.ANSWER);
+            mStore.resolve(FakeObjectStore.Fate.LOSE_ANSWER);
+            assertThat(settle(outcome).kind()).isEqualTo(ClaimOutcome.Kind.GRANTED);
+        }
+
+        @Test
+        void isUnknownWhenTheStoreStaysAwayUntilTheDeadline() {
+            CompletableFuture<ClaimOutcome> outcome =
+                    mShard.submit(ClaimRules.CLAIM, attempt("a", "key", "request", mShard));
+            mNow += 10_000;
+            mShard.tick();
+            assertThat(outcome.join().kind()).isEqualTo(ClaimOutcome.Kind.UNKNOWN);
+        }
+    }
+
+    @Nested
+    class ManyClaims {
+        @Test
+        void waitingOnesAreCommittedByOneWrite() {
+            List<CompletableFuture<ClaimOutcome>> outcomes = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                outcomes.add(
+                        mShard.submit(ClaimRules.CLAIM, attempt("a" + i, "key" + i, "r", mShard)));
+            }
+            mStore.resolveAll();
+            assertThat(outcomes.stream().allMatch(CompletableFuture::isDone)).isTrue();
+            assertThat(mTable.writes()).isEqualTo(1);
+        }
+
+        @Test
+        void goOnInFurtherSegmentsThatAnotherProcessReads() {
+            for (int i = 0; i < 3 * ClaimSegment.MAXIMUM_RECORDS; i++) {
+                settle(mShard.submit(ClaimRules.CLAIM, attempt("a" + i, "key" + i, "r", mShard)));
+            }
+            assertThat(mTable.list(PREFIX).size()).isAtLeast(3);
+            FakeObjectStore otherStore = FakeObjectStore.over(mTable);
+            ClaimShard other = shard(otherStore);
+            CompletableFuture<ClaimOutcome> repeat =
+                    other.submit(ClaimRules.CLAIM, attempt("b", "key7", "r", other));
+            otherStore.resolveAll();
+            assertThat(repeat.join()).isEqualTo(ClaimOutcome.taken("a7"));
+        }
+
+        @Test
+        void areForgottenWithTheirSegmentsAfterRetention() {
+            for (int i = 0; i < 2 * ClaimSegment.MAXIMUM_RECORDS; i++) {
+                settle(mShard.submit(ClaimRules.CLAIM, attempt("a" + i, "key" + i, "r", mShard)));
+            }
+            mEpoch += 1_000;
+            settle(mShard.submit(ClaimRules.CLAIM, attempt("new", "new-key", "r", mShard)));
+            int before = mTable.list(PREFIX).size();
+            mShard.expire(mEpoch);
+            mStore.resolveAll();
+            assertThat(mTable.list(PREFIX).size()).isLessThan(before);
+            ClaimOutcome again =
+                    settle(mShard.submit(ClaimRules.CLAIM, attempt("b", "key7", "r", mShard)));
+            assertThat(again.kind()).isEqualTo(ClaimOutcome.Kind.GRANTED);
+        }
+
+        @Test
+        void areFoundAgainByAProcessWhoseSegmentWasDroppedMeanwhile() {
+            FakeObjectStore sleepingStore = FakeObjectStore.over(mTable);
+            ClaimShard sleeping = shard(sleepingStore);
+            sleeping.submit(ClaimRules.CLAIM, attempt("s", "first", "r", sleeping));
+            sleepingStore.resolveAll();
+            for (int i = 0; i < 2 * ClaimSegment.MAXIMUM_RECORDS; i++) {
+                settle(mShard.submit(ClaimRules.CLAIM, attempt("a" + i, "key" + i, "r", mShard)));
+            }
+            mEpoch += 1_000;
+            mShard.expire(mEpoch);
+            mStore.resolveAll();
+            CompletableFuture<ClaimOutcome> late =
+                    sleeping.submit(ClaimRules.CLAIM, attempt("l", "late", "r", sleeping));
+            for (int i = 0; i < 100 && !late.isDone(); i++) {
+                sleepingStore.resolve(FakeObjectStore.Fate.ANSWER);
+            }
+            assertThat(late.getNow(ClaimOutcome.unknown()).kind())
+                    .isEqualTo(ClaimOutcome.Kind.GRANTED);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/dispatch/DispatchCoreTests.java
@@ -0,0 +1,184 @@
+package org.vanilladoor.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.configuration.Targets;
+import org.vanilladoor.configuration.Team;
+import org.vanilladoor.configuration.WorkClass;
+import org.vanilladoor.configuration.WorkKind;
+import org.vanilladoor.endpoint.LoadReport;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.platform.EndpointDescription;
+
+class DispatchCoreTests {
+    private static final WorkClass CHAT =
+            new WorkClass("chat", WorkKind.INTERACTIVE, 800, 60, 30_000, false, 0.95);
+    private static final WorkClass READING =
+            new WorkClass("reading", WorkKind.READING, 8_000, 0, 60_000, true, 0.95);
+    private final DispatchCore mCore = DispatchCore.create("muscat-1", Policies.standard());
+    private int mNumber;
+
+    private static EndpointDescription engine(String name, String domain, boolean reclaimable) {
+        return new EndpointDescription(
+                name, "model", true, domain, "127.0.0.1:1", reclaimable, true, false, 4);
+    }
+
+    private static LoadReport report(int maximumStreams, boolean leaving) {
+        return new LoadReport(EngineRole.MIXED, false, 0, 0, maximumStreams, "", leaving);
+    }
+
+    private Call call(String team, WorkClass workClass, boolean repeat, long arrival) {
+        mNumber++;
+        return new Call(
+                "call-" + mNumber, team, workClass, "model", 400, 20, List.of(), repeat, arrival);
+    }
+
+    private List<Decision> submit(Call call, long now) {
+        mCore.submit(call);
+        return mCore.decide(now);
+    }
+
+    @Nested
+    class AnEndpoint {
+        @Test
+        void thatIsLeavingGetsNoNewWork() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            mCore.report("a", report(8, true));
+            assertThat(submit(call("t", CHAT, false, 0), 0)).isEmpty();
+        }
+
+        @Test
+        void thatIsDrainedGetsNoNewWorkUntilItIsOpenedAgain() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            mCore.drain("a", true);
+            assertThat(submit(call("t", CHAT, false, 0), 0)).isEmpty();
+            mCore.drain("a", false);
+            assertThat(mCore.decide(1)).hasSize(1);
+        }
+
+        @Test
+        void thatIsOffTheListKeepsItsCallsAndGetsNoNewOnes() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            submit(call("t", CHAT, false, 0), 0);
+            mCore.setEndpoints(List.of());
+            assertThat(mCore.ownRequests("a")).isEqualTo(1);
+            assertThat(submit(call("t", CHAT, false, 0), 0)).isEmpty();
+        }
+
+        @Test
+        void ofTheOwnFailureDomainIsPreferred() {
+            mCore.setEndpoints(
+                    List.of(engine("a", "muscat-2", false), engine("b", "muscat-1", false)));
+            Decision.Assigned assigned =
+                    (Decision.Assigned) submit(call("t", CHAT, false, 0), 0).get(0);
+            assertThat(assigned.endpoint()).isEqualTo("b");
+        }
+
+        @Test
+        void thatMayBeReclaimedGetsOnlyWorkThatMayMove() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", true)));
+            assertThat(submit(call("t", CHAT, false, 0), 0)).isEmpty();
+            assertThat(submit(call("t", READING, false, 0), 0)).hasSize(1);
+        }
+
+        @Test
+        void thatFailedRepeatedlyIsAvoidedForAWhile() {
+            mCore.setEndpoints(
+                    List.of(engine("a", "muscat-1", false), engine("b", "muscat-1", false)));
+            for (int i = 0; i < 8; i++) {
+                Decision.Assigned assigned =
+                        (Decision.Assigned) submit(call("t", CHAT, false, 0), i).get(0);
+                Outcome outcome =
+                        assigned.endpoint().equals("a") ? Outcome.FAILED : Outcome.ANSWERED;
+                mCore.finish(assigned.call().identifier(), outcome, 20, i);
+            }
+            Decision.Assigned next =
+                    (Decision.Assigned) submit(call("t", CHAT, false, 0), 10).get(0);
+            assertThat(next.endpoint()).isEqualTo("b");
+        }
+    }
+
+    @Nested
+    class ACall {
+        @Test
+        void waitsForRoomAndIsThenAssigned() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            mCore.report("a", report(1, false));
+            Call first = call("t", CHAT, false, 0);
+            submit(first, 0);
+            assertThat(submit(call("t", CHAT, false, 1), 1)).isEmpty();
+            mCore.finish(first.identifier(), Outcome.ANSWERED, 20, 100);
+            assertThat(mCore.decide(100)).hasSize(1);
+        }
+
+        @Test
+        void whoseDeadlineCanNotBeMetIsRefusedBeforeItIsHandedOver() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            mCore.drain("a", true);
+            submit(call("t", CHAT, false, 0), 0);
+            List<Decision> late = mCore.decide(30_000);
+            assertThat(((Decision.Refused) late.get(0)).kind())
+                    .isEqualTo(Decision.Refusal.TOO_LATE);
+            assertThat(mCore.ownRequests("a")).isEqualTo(0);
+        }
+
+        @Test
+        void forAPoolWithoutEndpointsIsRefusedOnceItsTargetIsMissed() {
+            assertThat(submit(call("t", CHAT, false, 0), 0)).isEmpty();
+            List<Decision> late = mCore.decide(800);
+            assertThat(((Decision.Refused) late.get(0)).kind())
+                    .isEqualTo(Decision.Refusal.NO_ENDPOINT);
+        }
+    }
+
+    @Nested
+    class Repeats {
+        @Test
+        void areHeldToABudgetWhileFirstTriesGoOn() {
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            mCore.report("a", report(1_000, false));
+            int refused = 0;
+            for (int i = 0; i < 100; i++) {
+                for (Decision decision : submit(call("t", CHAT, true, i), i)) {
+                    refused += decision instanceof Decision.Refused ? 1 : 0;
+                }
+                assertThat(submit(call("t", CHAT, false, i), i).get(0))
+                        .isInstanceOf(Decision.Assigned.class);
+            }
+            assertThat(refused).isAtLeast(80);
+        }
+    }
+
+    @Nested
+    class Teams {
+        @Test
+        void areServedByTheirSharesWhenAllWait() {
+            mCore.setTargets(
+                    Targets.of(
+                            List.of(CHAT),
+                            List.of(
+                                    new Team("large", 3, List.of("chat"), true),
+                                    new Team("small", 1, List.of("chat"), true)),
+                            List.of(),
+                            List.of(),
+                            Targets.Limits.standard()));
+            mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
+            mCore.report("a", report(1, false));
+            for (int i = 0; i < 100; i++) {
+                mCore.submit(call("large", CHAT, false, 0));
+                mCore.submit(call("small", CHAT, false, 0));
+            }
+            List<String> served = new ArrayList<>();
+            for (int i = 0; i < 80; i++) {
+                Decision.Assigned assigned = (Decision.Assigned) mCore.decide(0).get(0);
+                served.add(assigned.call().team());
+                mCore.finish(assigned.call().identifier(), Outcome.ANSWERED, 20, 0);
+            }
+            assertThat(served.stream().filter("large"::equals).count()).isEqualTo(60);
+        }
+    }
+}
