--- a/src/main/java/org/vanilladoor/demo/LocalFleet.java
+++ b/src/main/java/org/vanilladoor/demo/LocalFleet.java
@@ -55,6 +55,19 @@
         seed(mStandIns.platform().objects());
     }
 
+    /**
+     * Starts the stand-ins of a deployment and puts a first configuration in force; the entries are
+     * left to the caller.
+     *
+     * @param deployment which one
+     * @param targets operators' targets
+     * @param entries number of entries that are going to run
+     */
+    public static LocalFleet prepare(Deployment deployment, Targets targets, int entries)
+            throws IOException {
+        return new LocalFleet(deployment, targets, entries);
+    }
+
     /**
      * Starts a deployment and waits until every entry is ready.
      *
@@ -64,7 +77,7 @@
      */
     public static LocalFleet start(Deployment deployment, Targets targets, int entries)
             throws IOException {
-        LocalFleet fleet = new LocalFleet(deployment, targets, entries);
+        LocalFleet fleet = prepare(deployment, targets, entries);
         for (int i = 0; i < entries; i++) {
             fleet.mEntries.add(Entry.start(fleet.settings(i), null));
         }
--- a/src/main/java/org/vanilladoor/dispatch/DispatchCore.java
+++ b/src/main/java/org/vanilladoor/dispatch/DispatchCore.java
@@ -89,7 +89,8 @@
     public void submit(Call call) {
         FairQueue queue = queue(call.pool());
         demand(call.pool()).add(call.promptTokens(), call.outputTokens(), call.arrivalMillis());
-        if (!mRetryBudget.admit(call.team(), call.repeat())) {
+        boolean within = mRetryBudget.admit(call.team(), call.repeat());
+        if (!within && !hasSpareRoom(call.pool())) {
             refuse(call, Decision.Refusal.RETRY_BUDGET, 1, "The team's retry budget is used up.");
         } else if (queue.size() >= MAXIMUM_QUEUE) {
             refuse(call, Decision.Refusal.QUEUE_FULL, 1, "The queue is full.");
@@ -167,6 +168,13 @@
         return mDemand.computeIfAbsent(pool, key -> DemandMeter.create());
     }
 
+    /** Repeats crowd nobody out while nobody waits and some endpoint is less than half full. */
+    private boolean hasSpareRoom(String pool) {
+        return queue(pool).size() == 0
+                && serving(pool).stream()
+                        .anyMatch(state -> 2 * state.requests() < state.maximumStreams());
+    }
+
     private boolean isGone(EndpointState state, Set<String> listed) {
         return !listed.contains(state.description().name()) && state.ownRequests() == 0;
     }
--- /dev/null
+++ b/src/test/java/org/vanilladoor/entry/EntryProcess.java
@@ -0,0 +1,133 @@
+package org.vanilladoor.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.demo.FreePorts;
+import org.vanilladoor.demo.LocalFleet;
+import org.vanilladoor.http.HttpCallOut;
+import org.vanilladoor.http.HttpLinks;
+import org.vanilladoor.http.HttpReply;
+import org.vanilladoor.settings.EntrySettings;
+
+/** An entry in a process of its own, which a test can kill, stop and let go on. */
+final class EntryProcess implements AutoCloseable {
+    private final Process mProcess;
+    private final HostPort mCallers;
+    private final HostPort mOperators;
+
+    private EntryProcess(Process process, HostPort callers, HostPort operators) {
+        mProcess = process;
+        mCallers = callers;
+        mOperators = operators;
+    }
+
+    /** Starts a process on ports that were free a moment ago. */
+    static EntryProcess start(EntrySettings settings) throws IOException {
+        HostPort callers = FreePorts.find(1).get(0);
+        HostPort operators = FreePorts.find(1).get(0);
+        Path file = Files.createTempFile("entry-", ".toml");
+        Files.writeString(file, toml(settings, callers, operators));
+        Process process =
+                new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-Xmx256m",
+                                "-XX:+UseSerialGC",
+                                "-XX:TieredStopAtLevel=1",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "org.vanilladoor.command.Main",
+                                "entry",
+                                "--settings",
+                                file.toString())
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .redirectError(Path.of("target", settings.name() + ".log").toFile())
+                        .start();
+        return new EntryProcess(process, callers, operators);
+    }
+
+    HostPort callers() {
+        return mCallers;
+    }
+
+    HostPort operators() {
+        return mOperators;
+    }
+
+    boolean isReady() {
+        try (HttpLinks links = HttpLinks.create(Duration.ofMillis(200));
+                HttpReply reply =
+                        links.send(mOperators, HttpCallOut.get("/readyz"), Duration.ofSeconds(1))) {
+            return reply.status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Kills the process; returns once it is gone. */
+    void kill() {
+        mProcess.destroyForcibly();
+        await();
+    }
+
+    /** Asks the process to stop. */
+    void terminate() {
+        mProcess.destroy();
+    }
+
+    /** Waits for the end of the process. */
+    void await() {
+        try {
+            mProcess.waitFor(60, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Freezes the process, or lets it go on. */
+    void signal(String name) throws IOException {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        kill();
+    }
+
+    private static String toml(EntrySettings settings, HostPort callers, HostPort operators) {
+        String peers =
+                settings.peers().stream()
+                        .map(peer -> "\"" + peer + "\"")
+                        .collect(Collectors.joining(", "));
+        Map<String, Object> entry =
+                Map.of(
+                        "name", quoted(settings.name()),
+                        "failure_domain", quoted(settings.failureDomain()),
+                        "caller_address", quoted(callers),
+                        "peer_address", quoted(settings.peerAddress()),
+                        "operator_address", quoted(operators),
+                        "system_credential", quoted(LocalFleet.CREDENTIAL),
+                        "peers", "[" + peers + "]");
+        return "[entry]\n"
+                + entry.entrySet().stream()
+                        .map(each -> each.getKey() + " = " + each.getValue() + "\n")
+                        .collect(Collectors.joining())
+                + "[platform]\naddress = "
+                + quoted(settings.platformAddress())
+                + "\ncalls_per_second = 200\n[limits]\nbalancer_grace_ms = 200\n"
+                + "drain_limit_ms = 20000\n";
+    }
+
+    private static String quoted(Object value) {
+        return "\"" + value + "\"";
+    }
+}
