Refuse bad input without hanging and never believe a bad answer

Cause: callers' port and endpoints' answers were untested. CallerPortTests send malformed, oversized and foreign input and let endpoints answer short, crossed, broken or not at all. Found, failing first: after a 413 the server waited for the unread 100 MB and the connection hung (withAnOversizedBodyIsRefused); the request's entity is now dropped and the connection closed, and a body has 60 s in all. A stand-in's short answer looked whole, since the server library ends a chunked body also after a failure: the stand-in now names a length, and the class comment of StreamWriter says that a stream needs an end marker of its own (ours has).

--- a/src/main/java/org/vanilladoor/entry/Entry.java
+++ b/src/main/java/org/vanilladoor/entry/Entry.java
@@ -19,6 +19,7 @@
 import org.vanilladoor.configuration.Configuration;
 import org.vanilladoor.configuration.ConfigurationKeeper;
 import org.vanilladoor.dispatch.DispatchGateway;
+import org.vanilladoor.dispatch.EndpointView;
 import org.vanilladoor.endpoint.LoadReport;
 import org.vanilladoor.http.HttpService;
 import org.vanilladoor.membership.MemberRecord;
@@ -97,6 +98,14 @@
         return mAvailability == Availability.SERVING;
     }
 
+    /** Returns whether an endpoint is known to be about to go. */
+    public boolean isLeaving(String endpoint) {
+        return mGateway.query(core -> core.endpoint(endpoint))
+                .join()
+                .map(EndpointView::leaving)
+                .orElse(true);
+    }
+
     /**
      * Stops gracefully: no request is cut that ends within the drain limit.
      *
--- a/src/main/java/org/vanilladoor/http/HttpExchange.java
+++ b/src/main/java/org/vanilladoor/http/HttpExchange.java
@@ -8,6 +8,7 @@
 import java.net.URISyntaxException;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -25,6 +26,7 @@
  */
 public final class HttpExchange {
     private static final int COPY_BYTES = 8192;
+    private static final Duration BODY_LIMIT = Duration.ofSeconds(60);
     private final ClassicHttpRequest mRequest;
     private final ClassicHttpResponse mResponse;
     private final URI mUri;
@@ -102,11 +104,15 @@
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         InputStream content = entity.getContent();
         byte[] buffer = new byte[COPY_BYTES];
+        long end = System.nanoTime() + BODY_LIMIT.toNanos();
         for (int count = content.read(buffer); count >= 0; count = content.read(buffer)) {
             body.write(buffer, 0, count);
             if (body.size() > maximumBytes) {
                 throw tooLarge(maximumBytes);
             }
+            if (System.nanoTime() > end) {
+                throw unread(408, "body-too-slow", "The body took over " + BODY_LIMIT + ".");
+            }
         }
         return body.toByteArray();
     }
@@ -142,11 +148,22 @@
                 new EntityTemplate(-1, ContentType.parse(contentType), null, writer::write));
     }
 
+    /** Answers with a body of a given length that the writer produces. */
+    public void replyStream(int status, String contentType, long length, StreamWriter writer) {
+        mResponse.setCode(status);
+        mResponse.setEntity(
+                new EntityTemplate(length, ContentType.parse(contentType), null, writer::write));
+    }
+
     private ProblemException tooLarge(int maximumBytes) {
+        return unread(413, "body-too-large", "The body is over " + maximumBytes + " bytes.");
+    }
+
+    /** Refuses a request whose body is left unread, so its connection can't be used again. */
+    private ProblemException unread(int status, String type, String detail) {
+        mRequest.setEntity(null);
         mResponse.setHeader("Connection", "close");
-        return new ProblemException(
-                Problem.notRun(
-                        413, "body-too-large", "The body is over " + maximumBytes + " bytes."));
+        return new ProblemException(Problem.notRun(status, type, detail));
     }
 
     /** Writes the body of an answer while it is produced; runs on the connection's thread. */
@@ -156,7 +173,8 @@
          * Writes the whole body.
          *
          * @throws IOException if the caller left or the body can't be completed; the connection is
-         *     then closed without an end marker
+         *     then closed, but a body without a length may look complete, so that a stream needs an
+         *     end marker of its own
          */
         void write(OutputStream output) throws IOException;
     }
--- a/src/main/java/org/vanilladoor/standin/EngineStandIn.java
+++ b/src/main/java/org/vanilladoor/standin/EngineStandIn.java
@@ -237,6 +237,7 @@
             exchange.replyStream(
                     200,
                     "application/json",
+                    answer.length,
                     output -> {
                         output.write(answer, 0, answer.length / 2);
                         output.flush();
--- /dev/null
+++ b/src/test/java/org/vanilladoor/caller/CallerPortTests.java
@@ -0,0 +1,328 @@
+package org.vanilladoor.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.Json;
+import org.vanilladoor.configuration.TargetsFile;
+import org.vanilladoor.demo.Deployment;
+import org.vanilladoor.demo.LocalFleet;
+import org.vanilladoor.entry.Eventually;
+import org.vanilladoor.http.HttpCallOut;
+import org.vanilladoor.http.HttpLinks;
+import org.vanilladoor.http.HttpReply;
+import org.vanilladoor.standin.EngineFaults;
+import org.vanilladoor.standin.EngineStandIn;
+import org.vanilladoor.standin.ServiceStandIn;
+
+/** What callers may send, and what endpoints may answer, good and bad. */
+class CallerPortTests {
+    private static LocalFleet sFleet;
+    private static HostPort sEntry;
+    private final HttpLinks mLinks = HttpLinks.create(Duration.ofSeconds(2));
+
+    @BeforeAll
+    static void startFleet() throws IOException {
+        sFleet =
+                LocalFleet.start(
+                        Deployment.AL_HABSI,
+                        TargetsFile.parse("targets", Deployment.AL_HABSI.targets()),
+                        1);
+        sEntry = sFleet.entries().get(0).callerAddress();
+    }
+
+    @AfterAll
+    static void stopFleet() {
+        sFleet.close();
+    }
+
+    @AfterEach
+    void mendEndpoints() {
+        setEngineFaults(EngineFaults.NONE);
+        sFleet.standIns().services().values().forEach(s -> s.setFaults(EngineFaults.NONE));
+        mLinks.close();
+    }
+
+    private static void setEngineFaults(EngineFaults faults) {
+        sFleet.standIns().engines().values().forEach(engine -> engine.setFaults(faults));
+    }
+
+    private static String key() {
+        return sFleet.keyOfTeam().get("harbour");
+    }
+
+    private static String chat(int tokens, boolean stream) {
+        return "{\"model\":\"supper-model\",\"stream\":"
+                + stream
+                + ",\"max_tokens\":"
+                + tokens
+                + ",\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
+    }
+
+    private Answer post(String path, String key, byte[] body, Map<String, String> more)
+            throws IOException {
+        Map<String, String> headers = new HashMap<>(more);
+        if (!key.isEmpty()) {
+            headers.put("Authorization", "Bearer " + key);
+        }
+        HttpCallOut request =
+                new HttpCallOut("POST", path, headers, "application/json", body, false);
+        try (HttpReply reply = mLinks.send(sEntry, request, Duration.ofSeconds(40))) {
+            String text = new String(reply.readAll(50_000_000), StandardCharsets.UTF_8);
+            return new Answer(reply.status(), text);
+        }
+    }
+
+    private Answer post(String path, String body) throws IOException {
+        return post(path, key(), body.getBytes(StandardCharsets.UTF_8), Map.of());
+    }
+
+    /** An answer as a caller sees it. */
+    private record Answer(int status, String text) {
+        String problem() {
+            String type =
+                    Json.readTree(text.getBytes(StandardCharsets.UTF_8)).path("type").asText();
+            return type.substring(type.lastIndexOf(':') + 1);
+        }
+
+        String ran() {
+            return Json.readTree(text.getBytes(StandardCharsets.UTF_8)).path("ran").asText();
+        }
+    }
+
+    @Nested
+    class AnInvalidRequest {
+        @Test
+        void withoutAKeyIsRefused() throws IOException {
+            Answer answer = post("/v1/chat/completions", "", chat(1, false).getBytes(), Map.of());
+            assertThat(answer.status()).isEqualTo(401);
+            assertThat(answer.ran()).isEqualTo("no");
+        }
+
+        @Test
+        void withAWrongKeyIsRefused() throws IOException {
+            String wrong = key().substring(0, key().length() - 1) + "z";
+            assertThat(
+                            post("/v1/chat/completions", wrong, chat(1, false).getBytes(), Map.of())
+                                    .status())
+                    .isEqualTo(401);
+        }
+
+        @Test
+        void forAnUnknownModelIsRefused() throws IOException {
+            Answer answer = post("/v1/completions", "{\"model\":\"none\",\"prompt\":\"hello\"}");
+            assertThat(answer.problem()).isEqualTo("unknown-model");
+        }
+
+        @Test
+        void forAnUnknownServiceIsRefused() throws IOException {
+            assertThat(post("/services/none/buy", "x").problem()).isEqualTo("unknown-service");
+        }
+
+        @Test
+        void forAClassThatTheModelDoesNotServeIsRefused() throws IOException {
+            Answer answer =
+                    post(
+                            "/v1/chat/completions",
+                            key(),
+                            chat(1, false).getBytes(),
+                            Map.of("X-Work-Class", "purchase"));
+            assertThat(answer.problem()).isEqualTo("unknown-class");
+        }
+
+        @Test
+        void withBrokenJsonIsRefused() throws IOException {
+            assertThat(post("/v1/chat/completions", "{\"model\":").problem())
+                    .isEqualTo("invalid-request");
+        }
+
+        @Test
+        void thatIsNotUtf8IsRefused() throws IOException {
+            byte[] body = {'"', (byte) 0xff, (byte) 0xfe, '"'};
+            assertThat(post("/v1/chat/completions", key(), body, Map.of()).problem())
+                    .isEqualTo("invalid-request");
+        }
+
+        @Test
+        void withAnOversizedBodyIsRefused() throws IOException {
+            String head =
+                    "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + key()
+                            + "\r\nContent-Length: 99999999\r\n\r\n";
+            assertThat(RawCaller.send(sEntry, head)).contains("413");
+        }
+
+        @Test
+        void withAMalformedHeadIsRefusedAndTheConnectionClosed() throws IOException {
+            assertThat(RawCaller.send(sEntry, "nonsense\r\n\r\n")).contains("HTTP/1.1 400");
+        }
+
+        @Test
+        void withAnOversizedHeadIsRefusedAndTheConnectionClosed() throws IOException {
+            String head = "GET / HTTP/1.1\r\nX-Long: " + "x".repeat(100_000) + "\r\n\r\n";
+            String answer = RawCaller.send(sEntry, head);
+            assertThat(answer.isEmpty() || answer.startsWith("HTTP/1.1 4")).isTrue();
+        }
+
+        @Test
+        void withADeeplyNestedBodyIsRefused() throws IOException {
+            assertThat(post("/v1/chat/completions", "[".repeat(100_000)).problem())
+                    .isEqualTo("invalid-request");
+        }
+
+        @Test
+        void withAnOverlongIdempotencyKeyIsRefused() throws IOException {
+            Answer answer =
+                    post(
+                            "/services/ticket-desk/buy",
+                            key(),
+                            "x".getBytes(),
+                            Map.of("Idempotency-Key", "k".repeat(300)));
+            assertThat(answer.problem()).isEqualTo("invalid-idempotency-key");
+        }
+    }
+
+    @Nested
+    class AnIdempotencyKey {
+        @Test
+        void ofAnotherTeamIsAnotherKey() throws IOException {
+            Map<String, String> shared = Map.of("Idempotency-Key", "shared");
+            Answer first = post("/services/ticket-desk/buy", key(), "x".getBytes(), shared);
+            String other = sFleet.keyOfTeam().get("mutrah");
+            Answer second = post("/services/ticket-desk/buy", other, "x".getBytes(), shared);
+            assertThat(second.status()).isEqualTo(200);
+            assertThat(second.text()).isNotEqualTo(first.text());
+        }
+
+        @Test
+        void withAnotherBodyIsRefused() throws IOException {
+            Map<String, String> reused = Map.of("Idempotency-Key", "reused");
+            post("/services/ticket-desk/buy", key(), "one".getBytes(), reused);
+            Answer second = post("/services/ticket-desk/buy", key(), "two".getBytes(), reused);
+            assertThat(second.status()).isEqualTo(422);
+        }
+
+        @Test
+        void givesTheKeptAnswerToARepeat() throws IOException {
+            Map<String, String> kept = Map.of("Idempotency-Key", "kept");
+            Answer first = post("/services/ticket-desk/buy", key(), "x".getBytes(), kept);
+            Answer second = post("/services/ticket-desk/buy", key(), "x".getBytes(), kept);
+            assertThat(second).isEqualTo(first);
+        }
+    }
+
+    @Nested
+    class AnEndpoint {
+        @Test
+        void whoseAnswerIsShortIsNeverBelieved() throws IOException {
+            setEngineFaults(new EngineFaults(0, 0, false, false, true, false));
+            Answer answer = post("/v1/chat/completions", chat(4, false));
+            assertThat(answer.status()).isAtLeast(500);
+            assertThat(answer.ran()).isEqualTo("unknown");
+        }
+
+        @Test
+        void whoseAnswerBelongsToAnotherRequestIsNeverBelieved() throws IOException {
+            setEngineFaults(new EngineFaults(0, 0, true, false, false, false));
+            Answer answer = post("/v1/chat/completions", chat(4, false));
+            assertThat(answer.status()).isAtLeast(500);
+            assertThat(answer.text()).doesNotContain("another-request:");
+        }
+
+        @Test
+        void whoseCallMayNotBeRepeatedIsAskedOnceEvenIfItStaysSilent() throws IOException {
+            sFleet.standIns()
+                    .services()
+                    .values()
+                    .forEach(s -> s.setFaults(new EngineFaults(0, 0, false, true, false, false)));
+            Answer answer =
+                    post(
+                            "/services/ticket-desk/buy",
+                            key(),
+                            "x".getBytes(),
+                            Map.of("Idempotency-Key", "silent"));
+            assertThat(answer.ran()).isEqualTo("unknown");
+            long run =
+                    sFleet.standIns().services().values().stream()
+                            .map(ServiceStandIn::record)
+                            .flatMap(record -> record.idempotencyKeys().stream())
+                            .filter("silent"::equals)
+                            .count();
+            assertThat(run).isEqualTo(1);
+        }
+
+        @Test
+        void whoseStreamBreaksIsAskedToResumeIt() throws IOException {
+            setEngineFaults(new EngineFaults(0, 3, false, false, false, false));
+            Answer answer = post("/v1/chat/completions", chat(8, true));
+            for (int i = 0; i < 8; i++) {
+                assertThat(answer.text()).contains(":" + i + " ");
+            }
+            assertThat(answer.text()).endsWith("data: [DONE]\n\n");
+        }
+
+        @Test
+        void neverSeesACallersKey() throws IOException {
+            post("/v1/chat/completions", chat(1, false));
+            for (EngineStandIn engine : sFleet.standIns().engines().values()) {
+                engine.record()
+                        .credentials()
+                        .forEach(
+                                seen ->
+                                        assertThat(seen)
+                                                .isEqualTo("Bearer " + LocalFleet.CREDENTIAL));
+            }
+        }
+
+        @Test
+        void thatIsLeavingGetsNoNewWorkAfterTwoSeconds() throws Exception {
+            EngineStandIn leaving = sFleet.standIns().engine("supper-model-0");
+            leaving.setFaults(new EngineFaults(0, 0, false, false, false, true));
+            Eventually.within(
+                    Duration.ofSeconds(2),
+                    "the entry knows that it leaves",
+                    () -> sFleet.entries().get(0).isLeaving("supper-model-0"));
+            int before = leaving.record().requests().size();
+            for (int i = 0; i < 30; i++) {
+                post("/v1/chat/completions", chat(1, false));
+            }
+            assertThat(leaving.record().requests()).hasSize(before);
+        }
+    }
+
+    @Nested
+    class ACaller {
+        @Test
+        void whoLeavesInMidStreamHasTheEnginesStreamCancelled() throws Exception {
+            String body = chat(2_000, true);
+            try (Socket socket = new Socket(sEntry.host(), sEntry.port())) {
+                String head =
+                        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                                + key()
+                                + "\r\nContent-Type: application/json\r\nContent-Length: "
+                                + body.length()
+                                + "\r\n\r\n"
+                                + body;
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+                assertThat(socket.getInputStream().read()).isEqualTo('H');
+            }
+            Eventually.within(
+                    Duration.ofSeconds(10),
+                    "the engine's stream is cancelled",
+                    () ->
+                            sFleet.standIns().engines().values().stream()
+                                    .anyMatch(engine -> engine.record().cancelled() > 0));
+        }
+    }
+}
--- a/src/test/java/org/vanilladoor/entry/Eventually.java
+++ b/src/test/java/org/vanilladoor/entry/Eventually.java
@@ -7,10 +7,11 @@
 import java.util.concurrent.locks.LockSupport;
 
 /** Waits for what has to come true within a stated time. */
-final class Eventually {
+public final class Eventually {
     private Eventually() {}
 
-    static void within(Duration limit, String what, Callable<Boolean> condition) throws Exception {
+    public static void within(Duration limit, String what, Callable<Boolean> condition)
+            throws Exception {
         long end = System.nanoTime() + limit.toNanos();
         boolean held = condition.call();
         while (!held && System.nanoTime() < end) {
