--- a/src/test/java/org/vanilladoor/entry/FleetTests.java
+++ b/src/test/java/org/vanilladoor/entry/FleetTests.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -22,9 +24,11 @@
 import org.vanilladoor.configuration.TargetsFile;
 import org.vanilladoor.demo.Deployment;
 import org.vanilladoor.demo.LocalFleet;
+import org.vanilladoor.generated.PeerRefusal;
 import org.vanilladoor.load.CallResult;
 import org.vanilladoor.load.CallerClient;
 import org.vanilladoor.load.PlannedCall;
+import org.vanilladoor.peer.PeerClient;
 import org.vanilladoor.standin.PlatformFaults;
 import org.vanilladoor.standin.ServiceStandIn;
 
@@ -286,6 +290,44 @@
         assertThat(statuses).containsExactly(200, 1, 409, 1);
     }
 
+    @Test
+    void aCutOffFailureDomainServesTheTeamsThatAllowItAndRefusesTheOthers() throws Exception {
+        mFleet.standIns().platform().setFaults(new PlatformFaults(true, false, false, 0, 0));
+        mEntries.get(1).kill();
+        mEntries.get(2).kill();
+        HostPort alone = mEntries.get(0).callers();
+        PlannedCall strict =
+                new PlannedCall(
+                        "sidab",
+                        mFleet.keyOfTeam().get("sidab"),
+                        "chat",
+                        "supper-model",
+                        "hello",
+                        1,
+                        "");
+        Eventually.within(
+                Duration.ofSeconds(30),
+                "the strict team is refused",
+                () ->
+                        mClient.chat(alone, strict, System.nanoTime())
+                                .detail()
+                                .contains("withdrawals-not-known"));
+        assertThat(mClient.chat(alone, chat(2), System.nanoTime()).outcome())
+                .isEqualTo(CallResult.Outcome.ANSWERED);
+    }
+
+    @Test
+    void aPeerWithoutTheSystemsCredentialIsRefused() throws Exception {
+        try (PeerClient peer = PeerClient.create(mThreads)) {
+            CompletableFuture<?> answer =
+                    peer.call(
+                            mFleet.settings(0).peerAddress(),
+                            client -> client.fetchHead("guessed-credential"));
+            CompletionException thrown = assertThrows(CompletionException.class, answer::join);
+            assertThat(thrown).hasCauseThat().isInstanceOf(PeerRefusal.class);
+        }
+    }
+
     private OperatorPort operatorOf(int entry) {
         return new OperatorPort(mEntries.get(entry).operators());
     }
--- /dev/null
+++ b/src/test/java/org/vanilladoor/entry/RoleChangeFleetTests.java
@@ -0,0 +1,85 @@
+package org.vanilladoor.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.common.ThreadPools;
+import org.vanilladoor.configuration.TargetsFile;
+import org.vanilladoor.demo.Deployment;
+import org.vanilladoor.demo.LocalFleet;
+import org.vanilladoor.load.CallResult;
+import org.vanilladoor.load.CallerClient;
+import org.vanilladoor.load.PlannedCall;
+import org.vanilladoor.standin.EngineStandIn;
+
+/** A shift to long prompts on a running fleet: roles change and no request is cut. */
+class RoleChangeFleetTests {
+    private static final int CALLERS = 24;
+
+    @Test
+    void aShiftToLongPromptsChangesARoleWithoutCuttingARequest() throws Exception {
+        AtomicBoolean stop = new AtomicBoolean();
+        ConcurrentLinkedQueue<CallResult> results = new ConcurrentLinkedQueue<>();
+        ExecutorService threads = ThreadPools.traffic("readers");
+        try (LocalFleet fleet =
+                        LocalFleet.start(
+                                Deployment.AL_HABSI,
+                                TargetsFile.parse("targets", Deployment.AL_HABSI.targets()),
+                                3);
+                CallerClient client = CallerClient.create()) {
+            AtomicInteger number = new AtomicInteger();
+            for (int i = 0; i < CALLERS; i++) {
+                threads.execute(() -> read(fleet, client, number, stop, results));
+            }
+            Eventually.within(
+                    Duration.ofSeconds(90),
+                    "a role has changed",
+                    () ->
+                            fleet.standIns().engines().values().stream()
+                                    .anyMatch(engine -> !engine.record().orders().isEmpty()));
+            stop.set(true);
+            List<Integer> cut = new ArrayList<>();
+            for (EngineStandIn engine : fleet.standIns().engines().values()) {
+                cut.add(engine.record().cut());
+            }
+            assertThat(cut.stream().mapToInt(Integer::intValue).sum()).isEqualTo(0);
+            assertThat(results.stream().map(CallResult::outcome).toList())
+                    .doesNotContain(CallResult.Outcome.WRONG);
+        } finally {
+            stop.set(true);
+            threads.shutdownNow();
+        }
+    }
+
+    private static void read(
+            LocalFleet fleet,
+            CallerClient client,
+            AtomicInteger number,
+            AtomicBoolean stop,
+            ConcurrentLinkedQueue<CallResult> results) {
+        while (!stop.get()) {
+            int call = number.incrementAndGet();
+            PlannedCall reading =
+                    new PlannedCall(
+                            "harbour",
+                            fleet.keyOfTeam().get("harbour"),
+                            "reading",
+                            "supper-model",
+                            call + "x".repeat(24_000),
+                            4,
+                            "");
+            results.add(
+                    client.chat(
+                            fleet.entries().get(call % 3).callerAddress(),
+                            reading,
+                            System.nanoTime()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/role/RoleChangeProcessTests.java
@@ -0,0 +1,124 @@
+package org.vanilladoor.role;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.authority.LeaseCore;
+import org.vanilladoor.authority.LeaseStep;
+import org.vanilladoor.authority.LeaseTiming;
+import org.vanilladoor.dispatch.EndpointView;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.order.OrderCore;
+import org.vanilladoor.platform.EndpointDescription;
+
+class RoleChangeProcessTests {
+    private static final String ENGINE = "engine";
+    private final LeaseCore mLease = LeaseCore.create("self", new LeaseTiming(100_000, 500));
+    private final OrderCore mOrders = OrderCore.create("orders", "self", mLease);
+    private long mVersion;
+
+    @BeforeEach
+    void takeTheLease() {
+        mLease.want(true);
+        mLease.next(0);
+        mLease.read(Optional.empty(), 0);
+        commit(0);
+    }
+
+    private void commit(long now) {
+        if (mLease.next(now) instanceof LeaseStep.Write) {
+            mVersion++;
+            mLease.written(mVersion, now);
+        }
+    }
+
+    private RoleChangeProcess start() {
+        RoleChange change = new RoleChange(ENGINE, EngineRole.PREFILL, "test");
+        RoleChangeProcess process = RoleChangeProcess.start(change, false, mOrders, 0);
+        commit(0);
+        return process;
+    }
+
+    private static Optional<EndpointView> view(int requests, boolean changing, boolean leaving) {
+        EndpointDescription description =
+                new EndpointDescription(
+                        ENGINE, "model", true, "d", "127.0.0.1:1", false, false, leaving, 1);
+        return Optional.of(
+                new EndpointView(
+                        description, EngineRole.MIXED, changing, true, leaving, 0, requests, 8, 0));
+    }
+
+    private static RoleChangeProcess.Confirmation confirmed(String name, int requests) {
+        return new RoleChangeProcess.Confirmation(name, true, requests);
+    }
+
+    private boolean hasOrder() {
+        return mOrders.journal().openFor(ENGINE).isPresent();
+    }
+
+    @Test
+    void theStopOfNewWorkIsRecordedFirst() {
+        start();
+        assertThat(mOrders.journal().drained()).containsExactly(ENGINE);
+        assertThat(hasOrder()).isFalse();
+    }
+
+    @Test
+    void noOrderIsWrittenWhileAnEntryHasNotConfirmed() {
+        RoleChangeProcess process = start();
+        process.proceed(
+                view(0, false, false),
+                List.of(confirmed("a", 0), new RoleChangeProcess.Confirmation("b", false, 0)),
+                60_000);
+        assertThat(hasOrder()).isFalse();
+    }
+
+    @Test
+    void noOrderIsWrittenWhileAnEntryHasRequestsThere() {
+        RoleChangeProcess process = start();
+        process.proceed(
+                view(0, false, false), List.of(confirmed("a", 0), confirmed("b", 1)), 60_000);
+        assertThat(hasOrder()).isFalse();
+    }
+
+    @Test
+    void noOrderIsWrittenWhileTheEngineReportsRequests() {
+        RoleChangeProcess process = start();
+        process.proceed(view(1, false, false), List.of(confirmed("a", 0)), 60_000);
+        assertThat(hasOrder()).isFalse();
+    }
+
+    @Test
+    void theOrderIsWrittenOnceEverybodyHasConfirmed() {
+        RoleChangeProcess process = start();
+        process.proceed(view(0, false, false), List.of(confirmed("a", 0)), 60_000);
+        assertThat(hasOrder()).isTrue();
+    }
+
+    @Test
+    void theEngineIsOpenedAgainOnlyAfterTheOrderIsSettledAndTheChangeIsOver() {
+        RoleChangeProcess process = start();
+        process.proceed(view(0, false, false), List.of(confirmed("a", 0)), 60_000);
+        String order = mOrders.journal().openFor(ENGINE).orElseThrow().identifier();
+        process.proceed(view(0, false, false), List.of(), 60_500);
+        assertThat(process.isDone()).isFalse();
+        mOrders.settled(order, 60_600);
+        process.proceed(view(0, true, false), List.of(), 60_700);
+        assertThat(process.isDone()).isFalse();
+        process.proceed(view(0, false, false), List.of(), 70_000);
+        assertThat(process.isDone()).isTrue();
+        assertThat(mOrders.journal().drained()).isEmpty();
+    }
+
+    @Test
+    void aChangeThatCanNotBeDrainedIsGivenUp() {
+        RoleChangeProcess process = start();
+        process.proceed(view(3, false, false), List.of(confirmed("a", 3)), 99_000);
+        assertThat(process.isDone()).isFalse();
+        process.proceed(view(0, false, true), List.of(), 99_001);
+        assertThat(process.isDone()).isTrue();
+    }
+}
