Change roles by a bounded trend, and let an engine dwell in its role

Cause: no single role change pays 15%, so none was made; with a small step the raw forecast made 40 of them, many there and back.

--- a/src/main/java/org/vanilladoor/dispatch/DemandMeter.java
+++ b/src/main/java/org/vanilladoor/dispatch/DemandMeter.java
@@ -11,7 +11,8 @@
 public final class DemandMeter {
     private static final long BUCKET_MILLIS = 1_000;
     private static final int WINDOW_BUCKETS = 20;
-    private static final int RECENT_BUCKETS = 5;
+    private static final int RECENT_BUCKETS = 10;
+    private static final double LARGEST_TREND = 0.25;
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private final Deque<Bucket> mBuckets = new ArrayDeque<>();
 
@@ -38,16 +39,19 @@
     public Demand forecast(long horizonMillis, long nowMillis) {
         Demand window = rate(WINDOW_BUCKETS, nowMillis);
         Demand recent = rate(RECENT_BUCKETS, nowMillis);
-        double lag = (WINDOW_BUCKETS - RECENT_BUCKETS) / 2.0;
-        double ahead = (horizonMillis / MILLIS_PER_SECOND + RECENT_BUCKETS / 2.0) / lag;
+        // The middles of both spans lie this far apart, and the horizon this far from the latter.
+        double apart = (WINDOW_BUCKETS - RECENT_BUCKETS) / 2.0;
+        double ahead = (horizonMillis / MILLIS_PER_SECOND + WINDOW_BUCKETS / 2.0) / apart;
         return new Demand(
                 extrapolate(window.promptTokens(), recent.promptTokens(), ahead),
                 extrapolate(window.outputTokens(), recent.outputTokens(), ahead));
     }
 
+    /** A trend over few calls is mostly noise, so it moves the rate by a limited part. */
     private static double extrapolate(double window, double recent, double ahead) {
-        double bounded = Math.min(1.0, ahead);
-        return Math.max(0, recent + (recent - window) * bounded);
+        double trend = (recent - window) * ahead;
+        double limit = window * LARGEST_TREND;
+        return window + Math.max(-limit, Math.min(limit, trend));
     }
 
     private Demand rate(int buckets, long nowMillis) {
--- a/src/main/java/org/vanilladoor/role/RoleCore.java
+++ b/src/main/java/org/vanilladoor/role/RoleCore.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -21,13 +22,15 @@
  * thread.
  */
 public final class RoleCore {
-    private static final double LEAST_GAIN = 0.15;
+    private static final double LEAST_GAIN = 0.04;
     private static final double BUSY = 0.6;
-    private static final long PAUSE_MILLIS = 15_000;
+    private static final long PAUSE_MILLIS = 6_000;
+    private static final long DWELL_MILLIS = 60_000;
     private static final double USABLE_STREAM_SHARE = 0.8;
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private final Policies.Roles mPolicy;
     private final EngineProfile mProfile;
+    private final Map<String, Long> mChangedMillis = new HashMap<>();
     private long mLastChangeMillis = Long.MIN_VALUE / 2;
 
     private RoleCore(Policies.Roles policy, EngineProfile profile) {
@@ -64,13 +67,15 @@
         if (present < BUSY) {
             return Optional.empty();
         }
-        return best(counts, forecast, present)
-                .map(move -> change(usable, move, present))
-                .map(
-                        change -> {
-                            mLastChangeMillis = nowMillis;
-                            return change;
-                        });
+        Optional<RoleChange> change =
+                best(counts, forecast, present)
+                        .flatMap(move -> change(usable, move, present, nowMillis));
+        change.ifPresent(
+                made -> {
+                    mLastChangeMillis = nowMillis;
+                    mChangedMillis.put(made.endpoint(), nowMillis);
+                });
+        return change;
     }
 
     /** Returns the load of the busier phase, 1 being all that the engines can do. */
@@ -116,7 +121,7 @@
             Map<EngineRole, Integer> counts, Demand forecast, double presentLoad) {
         Move best = null;
         for (EngineRole from : counts.keySet()) {
-            for (EngineRole to : EngineRole.values()) {
+            for (EngineRole to : List.of(EngineRole.PREFILL, EngineRole.DECODE)) {
                 if (from == to || counts.get(from) == 0) {
                     continue;
                 }
@@ -130,21 +135,26 @@
         return pays ? Optional.of(best) : Optional.empty();
     }
 
-    private static RoleChange change(List<EndpointView> usable, Move move, double presentLoad) {
-        EndpointView idlest =
-                usable.stream()
-                        .filter(view -> view.role() == move.from())
-                        .min(
-                                Comparator.comparingInt(EndpointView::requests)
-                                        .thenComparing(view -> view.description().name()))
-                        .orElseThrow();
+    private Optional<RoleChange> change(
+            List<EndpointView> usable, Move move, double presentLoad, long nowMillis) {
         String reason =
                 String.format(
                         Locale.ROOT,
                         "load of the busier phase falls from %.2f to %.2f",
                         presentLoad,
                         move.load());
-        return new RoleChange(idlest.description().name(), move.to(), reason);
+        return usable.stream()
+                .filter(view -> view.role() == move.from())
+                .filter(view -> hasDwelt(view.description().name(), nowMillis))
+                .min(
+                        Comparator.comparingInt(EndpointView::requests)
+                                .thenComparing(view -> view.description().name()))
+                .map(view -> new RoleChange(view.description().name(), move.to(), reason));
+    }
+
+    private boolean hasDwelt(String endpoint, long nowMillis) {
+        Long changed = mChangedMillis.get(endpoint);
+        return changed == null || nowMillis - changed >= DWELL_MILLIS;
     }
 
     private static Map<EngineRole, Integer> moved(
