Keep repeats to idle fleets and movable work on reclaimable engines

Cause: half-full engines still took every repeat of a storm, repeats moved the roles' demand, and steady engines were drawn as often as reclaimable ones.

--- a/src/main/java/org/vanilladoor/dispatch/DispatchCore.java
+++ b/src/main/java/org/vanilladoor/dispatch/DispatchCore.java
@@ -25,6 +25,7 @@
 public final class DispatchCore {
     private static final int MAXIMUM_QUEUE = 10_000;
     private static final long LATE_CHECK_MILLIS = 50;
+    private static final int SPARE_PARTS = 5;
     private static final int MILLIS_PER_SECOND = 1_000;
     private final Policies mPolicies;
     private final EndpointChoice mChoice;
@@ -93,13 +94,13 @@
     /** Takes a call in; its decision comes from {@link #decide}. */
     public void submit(Call call) {
         FairQueue queue = queue(call.pool());
-        demand(call.pool()).add(call.promptTokens(), call.outputTokens(), call.arrivalMillis());
         boolean within = mRetryBudget.admit(call.team(), call.repeat());
         if (!within && !hasSpareRoom(call.pool())) {
             refuse(call, Decision.Refusal.RETRY_BUDGET, 1, "The team's retry budget is used up.");
         } else if (queue.size() >= MAXIMUM_QUEUE) {
             refuse(call, Decision.Refusal.QUEUE_FULL, 1, "The queue is full.");
         } else {
+            demand(call.pool()).add(call.promptTokens(), call.outputTokens(), call.arrivalMillis());
             queue.add(call);
         }
     }
@@ -177,11 +178,11 @@
         return mDemand.computeIfAbsent(pool, key -> DemandMeter.create());
     }
 
-    /** Repeats crowd nobody out while nobody waits and some endpoint is less than half full. */
+    /** Repeats crowd nobody out while nobody waits and the endpoints are mostly idle. */
     private boolean hasSpareRoom(String pool) {
         return queue(pool).size() == 0
                 && serving(pool).stream()
-                        .anyMatch(state -> 2 * state.requests() < state.maximumStreams());
+                        .allMatch(state -> SPARE_PARTS * state.requests() < state.maximumStreams());
     }
 
     private boolean isGone(EndpointState state, Set<String> listed) {
--- a/src/main/java/org/vanilladoor/dispatch/EndpointChoice.java
+++ b/src/main/java/org/vanilladoor/dispatch/EndpointChoice.java
@@ -18,7 +18,7 @@
     private static final double OTHER_DOMAIN_MILLIS = 3.0;
     private static final double KV_MOVE_MILLIS_PER_TOKEN = 0.005;
     private static final double KV_MOVE_BASE_MILLIS = 5.0;
-    private static final double STEADY_FOR_MOVABLE_MILLIS = 50.0;
+    private static final double CHEAP_SHARE_OF_TARGET = 0.25;
     private static final double INTERVAL_WEIGHT_TOKENS = 20.0;
     private static final double FIT_FACTOR = 1.8;
     private final String mFailureDomain;
@@ -52,7 +52,7 @@
                 switch (mRouting) {
                     case ROUND_ROBIN -> roundRobin(free);
                     case LEAST_IN_FLIGHT -> leastInFlight(free);
-                    case PREDICTED -> predicted(call, usable, free);
+                    case PREDICTED -> predicted(call, cheaper(call, usable), cheaper(call, free));
                 });
     }
 
@@ -78,7 +78,7 @@
      */
     private Pair predicted(Call call, List<EndpointState> usable, List<EndpointState> free) {
         if (!free.get(0).description().engine()) {
-            EndpointState idler = betterOfTwo(free, state -> loadCost(call, state));
+            EndpointState idler = betterOfTwo(free, state -> loadCost(state));
             return new Pair(idler, idler, "less loaded of two");
         }
         EndpointState single =
@@ -89,7 +89,7 @@
         EndpointState reader =
                 betterOfTwo(
                         fit(usable, state -> state.idlePrefillMillis(call)),
-                        state -> state.prefillMillis(call) + distance(call, state));
+                        state -> state.prefillMillis(call) + distance(state));
         EndpointState writer =
                 betterOfTwo(
                         fit(free, EndpointState::idleIntervalMillis),
@@ -102,6 +102,20 @@
         return new Pair(single, single, reason("whole, predicted cost %.0f ms", singleCost));
     }
 
+    /** Keeps work that may move to reclaimable engines while one of them is fast enough. */
+    private static List<EndpointState> cheaper(Call call, List<EndpointState> states) {
+        if (!call.workClass().reclaimable()) {
+            return states;
+        }
+        double limit = call.workClass().firstTokenMillis() * CHEAP_SHARE_OF_TARGET;
+        List<EndpointState> cheap =
+                states.stream()
+                        .filter(state -> state.description().reclaimable())
+                        .filter(state -> state.prefillMillis(call) <= limit)
+                        .toList();
+        return cheap.isEmpty() ? states : cheap;
+    }
+
     private EndpointState betterOfTwo(
             List<EndpointState> states, ToDoubleFunction<EndpointState> cost) {
         if (states.size() == 1) {
@@ -127,25 +141,22 @@
         double tokens = Math.min(INTERVAL_WEIGHT_TOKENS, call.outputTokens());
         return state.idlePrefillMillis(call)
                 + state.idleIntervalMillis() * tokens
-                + distance(call, state);
+                + distance(state);
     }
 
     private double streamCost(Call call, EndpointState state) {
         double tokens = Math.min(INTERVAL_WEIGHT_TOKENS, call.outputTokens());
-        return state.intervalMillis() * tokens + distance(call, state);
+        return state.intervalMillis() * tokens + distance(state);
     }
 
-    private double loadCost(Call call, EndpointState state) {
+    private double loadCost(EndpointState state) {
         return (double) state.requests() / state.maximumStreams() * INTERVAL_WEIGHT_TOKENS
-                + distance(call, state);
+                + distance(state);
     }
 
-    private double distance(Call call, EndpointState state) {
+    private double distance(EndpointState state) {
         boolean near = state.description().failureDomain().equals(mFailureDomain);
-        double distance = near ? 0 : OTHER_DOMAIN_MILLIS;
-        boolean steadyForMovable =
-                call.workClass().reclaimable() && !state.description().reclaimable();
-        return steadyForMovable ? distance + STEADY_FOR_MOVABLE_MILLIS : distance;
+        return near ? 0 : OTHER_DOMAIN_MILLIS;
     }
 
     private static EndpointState least(
