Measure slopes, and stop the claim log from eating the platform's budget

Cause: the first run of measure entries showed 8 lists and 8 reads a second of each idle entry, all of them refreshes of unused claim shards: 2,640 of each at 330 entries, over the platform's 2,000 reads.

--- a/src/main/java/org/vanilladoor/claim/ClaimLog.java
+++ b/src/main/java/org/vanilladoor/claim/ClaimLog.java
@@ -55,8 +55,7 @@
             ControlLoop control, ObjectStore store, Supplier<Duration> retention) {
         ClaimLog log = new ClaimLog(control, store);
         control.repeat(TICK, () -> log.mShards.forEach(ClaimShard::tick));
-        control.execute(() -> log.mShards.forEach(ClaimShard::refresh));
-        control.repeat(REFRESH, () -> log.mShards.forEach(ClaimShard::refresh));
+        control.repeat(REFRESH, () -> log.mShards.forEach(ClaimShard::refreshIfUsed));
         control.repeat(
                 EXPIRY,
                 () -> {
@@ -83,7 +82,7 @@
                                 Identifiers.random(),
                                 key,
                                 request,
-                                shard(key).knownPosition(),
+                                shard(key).positionForAttempt(),
                                 deadlineMillis));
     }
 
--- a/src/main/java/org/vanilladoor/claim/ClaimShard.java
+++ b/src/main/java/org/vanilladoor/claim/ClaimShard.java
@@ -25,6 +25,7 @@
  */
 final class ClaimShard {
     private static final int MAXIMUM_BATCH = 200;
+    private static final long USED_MILLIS = 60_000;
     private final String mPrefix;
     private final ObjectStore mStore;
     private final Executor mControl;
@@ -37,6 +38,7 @@
     private long mCurrentVersion = ObjectStore.ABSENT;
     private boolean mCurrentIsKnown;
     private boolean mBusy;
+    private long mUsedMillis = Long.MIN_VALUE / 2;
 
     private ClaimShard(
             String prefix,
@@ -65,6 +67,12 @@
         return mIndex.endPosition();
     }
 
+    /** Returns the end of the log as it is known, for an attempt that comes in now. */
+    long positionForAttempt() {
+        mUsedMillis = mClockMillis.getAsLong();
+        return mIndex.endPosition();
+    }
+
     CompletableFuture<ClaimOutcome> submit(ClaimRules rules, Attempt attempt) {
         Operation operation = new Operation(rules, attempt, new CompletableFuture<>());
         mPending.add(operation);
@@ -80,6 +88,13 @@
         }
     }
 
+    /** Reads what others have appended, if attempts have come in lately. */
+    void refreshIfUsed() {
+        if (mClockMillis.getAsLong() - mUsedMillis < USED_MILLIS) {
+            refresh();
+        }
+    }
+
     /** Gives up operations whose deadline has passed and goes on with the others. */
     void tick() {
         long now = mClockMillis.getAsLong();
--- a/src/main/java/org/vanilladoor/command/Main.java
+++ b/src/main/java/org/vanilladoor/command/Main.java
@@ -59,7 +59,8 @@
                 new StatusCommand(),
                 new ExplainCommand(),
                 new ReportCommand(),
-                new ReplayCommand());
+                new ReplayCommand(),
+                new MeasureCommand());
     }
 
     private static ExitCode runCommand(
--- a/src/main/java/org/vanilladoor/entry/CounterCopier.java
+++ b/src/main/java/org/vanilladoor/entry/CounterCopier.java
@@ -55,7 +55,7 @@
         if (changed.isEmpty()) {
             return;
         }
-        CounterBatch batch = new CounterBatch(mCredential, PeerMessages.counters(changed));
+        CounterBatch batch = PeerMessages.batch(mCredential, changed);
         for (boolean ownDomain : new boolean[] {true, false}) {
             Optional<MemberRecord> keeper = keeper(ownDomain);
             if (keeper.isEmpty()) {
--- a/src/main/java/org/vanilladoor/entry/Entry.java
+++ b/src/main/java/org/vanilladoor/entry/Entry.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLContext;
 import org.apache.logging.log4j.LogManager;
@@ -98,6 +100,13 @@
         return mAvailability == Availability.SERVING;
     }
 
+    /** Returns how many calls this process has sent to the platform, by kind. */
+    public Map<String, Long> platformCalls() {
+        Map<String, Long> calls = new TreeMap<>();
+        mMetrics.getCounters().forEach((name, counter) -> calls.put(name, counter.getCount()));
+        return calls;
+    }
+
     /** Returns whether an endpoint is known to be about to go. */
     public boolean isLeaving(String endpoint) {
         return mGateway.query(core -> core.endpoint(endpoint))
--- a/src/main/java/org/vanilladoor/entry/PeerHandler.java
+++ b/src/main/java/org/vanilladoor/entry/PeerHandler.java
@@ -71,19 +71,17 @@
     @Override
     public void putCounters(CounterBatch batch) throws PeerRefusal {
         check(batch.getCredential());
-        batch.getCounters()
-                .forEach(
-                        counter ->
-                                mContext.counters()
-                                        .merge(
-                                                PeerMessages.countedWindow(counter),
-                                                PeerMessages.counts(counter)));
+        try {
+            PeerMessages.merge(batch, mContext.counters());
+        } catch (IllegalArgumentException e) {
+            throw new PeerRefusal(e.getMessage());
+        }
     }
 
     @Override
     public CounterBatch readCounters(String credential) throws PeerRefusal {
         check(credential);
-        return new CounterBatch("", PeerMessages.counters(mContext.counters().snapshot()));
+        return PeerMessages.batch("", mContext.counters().snapshot());
     }
 
     @Override
--- a/src/main/java/org/vanilladoor/entry/PeerMessages.java
+++ b/src/main/java/org/vanilladoor/entry/PeerMessages.java
@@ -7,12 +7,14 @@
 import org.vanilladoor.endpoint.LoadReport;
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.generated.Counter;
+import org.vanilladoor.generated.CounterBatch;
 import org.vanilladoor.generated.Exchange;
 import org.vanilladoor.generated.LoadDigest;
 import org.vanilladoor.generated.Member;
 import org.vanilladoor.membership.MemberRecord;
 import org.vanilladoor.usage.CountedWindow;
 import org.vanilladoor.usage.TeamCounts;
+import org.vanilladoor.usage.UsageCounters;
 
 /**
  * Turns the system's types into messages between entries and back.
@@ -78,28 +80,45 @@
                 digest.isLeaving());
     }
 
-    static List<Counter> counters(Map<CountedWindow, TeamCounts> counts) {
+    /** Returns counts as a message that names each process once. */
+    static CounterBatch batch(String credential, Map<CountedWindow, TeamCounts> counts) {
+        List<String> incarnations =
+                counts.keySet().stream().map(CountedWindow::incarnation).distinct().toList();
         List<Counter> counters = new ArrayList<>();
         counts.forEach(
                 (key, count) ->
                         counters.add(
                                 new Counter(
-                                        key.incarnation(),
+                                        incarnations.indexOf(key.incarnation()),
                                         key.window(),
                                         key.team(),
                                         count.requests(),
                                         count.promptTokens(),
                                         count.outputTokens())));
-        return counters;
+        return new CounterBatch(credential, incarnations, counters);
     }
 
-    static CountedWindow countedWindow(Counter counter) {
-        return new CountedWindow(counter.getIncarnation(), counter.getWindow(), counter.getTeam());
-    }
-
-    static TeamCounts counts(Counter counter) {
-        return new TeamCounts(
-                counter.getRequests(), counter.getPromptTokens(), counter.getOutputTokens());
+    /**
+     * Takes the counts of a message in.
+     *
+     * @throws IllegalArgumentException if a count names no process of the message
+     */
+    static void merge(CounterBatch batch, UsageCounters counters) {
+        for (Counter counter : batch.getCounters()) {
+            int index = counter.getIncarnationIndex();
+            if (index < 0 || index >= batch.getIncarnationsSize()) {
+                throw new IllegalArgumentException("incarnationIndex is not in the list: " + index);
+            }
+            counters.merge(
+                    new CountedWindow(
+                            batch.getIncarnations().get(index),
+                            counter.getWindow(),
+                            counter.getTeam()),
+                    new TeamCounts(
+                            counter.getRequests(),
+                            counter.getPromptTokens(),
+                            counter.getOutputTokens()));
+        }
     }
 
     private static Member message(MemberRecord record) {
--- a/src/main/java/org/vanilladoor/entry/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/entry/UsageDuty.java
@@ -10,7 +10,6 @@
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.common.MonotonicClock;
-import org.vanilladoor.generated.CounterBatch;
 import org.vanilladoor.membership.MemberRecord;
 import org.vanilladoor.order.OpenOrder;
 import org.vanilladoor.platform.ObjectStore;
@@ -125,7 +124,7 @@
                             .handle(
                                     (batch, failure) -> {
                                         if (failure == null) {
-                                            merge(batch);
+                                            PeerMessages.merge(batch, mContext.counters());
                                         }
                                         return null;
                                     });
@@ -134,16 +133,6 @@
         return all;
     }
 
-    private void merge(CounterBatch batch) {
-        batch.getCounters()
-                .forEach(
-                        counter ->
-                                mContext.counters()
-                                        .merge(
-                                                PeerMessages.countedWindow(counter),
-                                                PeerMessages.counts(counter)));
-    }
-
     private CompletableFuture<Void> seal() {
         if (mLast == null || !mScope.orders().mayAct(MonotonicClock.nowMillis())) {
             return CompletableFuture.completedFuture(null);
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -36,7 +36,8 @@
 
 // What one process counted for a team in a window; figures only grow.
 struct Counter {
-  1: string incarnation
+  // Place of the counting process in the batch's list.
+  1: i32 incarnationIndex
   2: i64 window
   3: string team
   4: i64 requests
@@ -46,7 +47,8 @@
 
 struct CounterBatch {
   1: string credential
-  2: list<Counter> counters
+  2: list<string> incarnations
+  3: list<Counter> counters
 }
 
 // Stops or allows new work at an endpoint before a planned change.
