Look for callers' keys at services too

Cause: the mutant that forwards a caller's authorization survived, since the sender overwrites that header anyway: two guards, one fault.

--- a/src/test/java/org/vanilladoor/caller/CallerPortTests.java
+++ b/src/test/java/org/vanilladoor/caller/CallerPortTests.java
@@ -7,7 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -275,14 +277,17 @@
         @Test
         void neverSeesACallersKey() throws IOException {
             post("/v1/chat/completions", chat(1, false));
-            for (EngineStandIn engine : sFleet.standIns().engines().values()) {
-                engine.record()
-                        .credentials()
-                        .forEach(
-                                seen ->
-                                        assertThat(seen)
-                                                .isEqualTo("Bearer " + LocalFleet.CREDENTIAL));
-            }
+            post("/services/ticket-desk/buy", "x");
+            Set<String> seen = new HashSet<>();
+            sFleet.standIns()
+                    .engines()
+                    .values()
+                    .forEach(engine -> seen.addAll(engine.record().credentials()));
+            sFleet.standIns()
+                    .services()
+                    .values()
+                    .forEach(service -> seen.addAll(service.record().credentials()));
+            assertThat(seen).containsExactly("Bearer " + LocalFleet.CREDENTIAL);
         }
 
         @Test
