--- a/src/main/java/org/vanilladoor/command/MeasureCommand.java
+++ b/src/main/java/org/vanilladoor/command/MeasureCommand.java
@@ -10,6 +10,7 @@
 import org.vanilladoor.measure.DecisionSlope;
 import org.vanilladoor.measure.EntrySlope;
 import org.vanilladoor.measure.MessageSlope;
+import org.vanilladoor.measure.Propagation;
 
 /**
  * Measures the slopes that the capacity page rests on.
@@ -31,7 +32,7 @@
 
     @Override
     public String arguments() {
-        return "entries | messages | decisions | configuration | added-latency";
+        return "entries | messages | decisions | configuration | added-latency | propagation";
     }
 
     @Override
@@ -48,6 +49,7 @@
             case "messages" -> MessageSlope.run(output);
             case "decisions" -> DecisionSlope.run(output);
             case "configuration" -> ConfigurationSlope.run(output);
+            case "propagation" -> Propagation.run(output);
             case "added-latency" -> AddedLatency.run(output);
             default -> throw new UsageException("Expected " + arguments());
         }
--- a/src/main/java/org/vanilladoor/peer/PeerServer.java
+++ b/src/main/java/org/vanilladoor/peer/PeerServer.java
@@ -59,6 +59,7 @@
                                             new TCompactProtocol.Factory(
                                                     PeerClient.MAXIMUM_MESSAGE_BYTES,
                                                     PeerClient.MAXIMUM_MESSAGE_BYTES))
+                                    .stopTimeoutVal(1)
                                     .executorService(threads));
             threads.execute(server::serve);
             return new PeerServer(
