--- a/src/test/java/org/vanilladoor/authority/LeaseCoreTests.java
+++ b/src/test/java/org/vanilladoor/authority/LeaseCoreTests.java
@@ -7,6 +7,7 @@
 import org.vanilladoor.common.Json;
 import org.vanilladoor.platform.StoredObject;
 
+/** When a lease is trusted, taken over, released and lost. */
 class LeaseCoreTests {
     private static final LeaseTiming TIMING = new LeaseTiming(4_000, 500);
     private long mVersion;
--- a/src/test/java/org/vanilladoor/claim/ClaimShardTests.java
+++ b/src/test/java/org/vanilladoor/claim/ClaimShardTests.java
@@ -10,6 +10,7 @@
 import org.vanilladoor.platform.FakeObjectStore;
 import org.vanilladoor.standin.ObjectTable;
 
+/** One shard of the claim log against an object API that a test controls. */
 class ClaimShardTests {
     private static final String PREFIX = "claims/0/";
     private final ObjectTable mTable = ObjectTable.create();
--- a/src/test/java/org/vanilladoor/configuration/TargetsFileTests.java
+++ b/src/test/java/org/vanilladoor/configuration/TargetsFileTests.java
@@ -8,6 +8,7 @@
 import org.vanilladoor.common.InvalidInputException;
 import org.vanilladoor.demo.Deployment;
 
+/** What operators may write, and what is said of mistakes. */
 class TargetsFileTests {
     @Test
     void bothExamplesAreValid() throws Exception {
--- a/src/test/java/org/vanilladoor/dispatch/DispatchCoreTests.java
+++ b/src/test/java/org/vanilladoor/dispatch/DispatchCoreTests.java
@@ -15,6 +15,7 @@
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.platform.EndpointDescription;
 
+/** What is decided about calls, one rule each. */
 class DispatchCoreTests {
     private static final WorkClass CHAT =
             new WorkClass("chat", WorkKind.INTERACTIVE, 800, 60, 30_000, false, 0.95);
--- a/src/test/java/org/vanilladoor/role/RoleChangeProcessTests.java
+++ b/src/test/java/org/vanilladoor/role/RoleChangeProcessTests.java
@@ -14,6 +14,7 @@
 import org.vanilladoor.order.OrderCore;
 import org.vanilladoor.platform.EndpointDescription;
 
+/** When the order for a planned role change is written, and when the engine is opened again. */
 class RoleChangeProcessTests {
     private static final String ENGINE = "engine";
     private final LeaseCore mLease = LeaseCore.create("self", new LeaseTiming(100_000, 500));
