Keep a connection once, and let a stop wait for requests on their way in

Cause: found by reading. - An answer closed twice (by its reader and by a withdrawn key) put its connection into the pool twice, and two requests shared it. Test first: StopTests, the stop did not wait. It waits now for every connection with a request under way, which covers answers that a slow caller is still reading. Ruled out: a stream whose writer never runs; the server library writes the head into a buffer only, so the writer runs and sees the failure.

--- a/src/main/java/org/vanilladoor/entry/Entry.java
+++ b/src/main/java/org/vanilladoor/entry/Entry.java
@@ -56,6 +56,7 @@
     private HttpService mOperatorService;
     private volatile Availability mAvailability = Availability.STARTING;
     private volatile boolean mInformed = true;
+    private volatile boolean mStopping;
     private volatile boolean mEndpointsListed;
 
     private Entry(EntryContext context, MetricRegistry metrics) {
@@ -100,6 +101,16 @@
         return mAvailability == Availability.SERVING;
     }
 
+    /** Returns how many callers have a request that is not answered to its end. */
+    public int busyCallers() {
+        return mCallerService.busyConnections();
+    }
+
+    /** Returns whether a stop has waited for the balancer and now waits for open calls. */
+    public boolean isStopping() {
+        return mStopping;
+    }
+
     /** Returns how many calls this process has sent to the platform, by kind. */
     public Map<String, Long> platformCalls() {
         Map<String, Long> calls = new TreeMap<>();
@@ -126,8 +137,9 @@
         mAvailability = Availability.DRAINING;
         mNetwork.leave();
         pause(mSettings.balancerGrace());
+        mStopping = true;
         long end = MonotonicClock.nowMillis() + mSettings.drainLimit().toMillis();
-        while (mOpenCalls.size() > 0 && MonotonicClock.nowMillis() < end) {
+        while (busyCallers() + mOpenCalls.size() > 0 && MonotonicClock.nowMillis() < end) {
             pause(READINESS_PERIOD);
         }
         mCallerService.stop(Duration.ofSeconds(1));
--- a/src/main/java/org/vanilladoor/http/HttpReply.java
+++ b/src/main/java/org/vanilladoor/http/HttpReply.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
@@ -15,8 +16,8 @@
  * The answer to a sent request, with its body still to be read.
  *
  * <p>Invariant: closing before the body was read to its end closes the connection, so that the rest
- * of the answer can't be taken for the answer to another request. {@link #close} may be called by
- * any thread; the rest belongs to one thread.
+ * of the answer can't be taken for the answer to another request; closing again does nothing.
+ * {@link #close} may be called by any thread; the rest belongs to one thread.
  */
 public final class HttpReply implements AutoCloseable {
     private static final int COPY_BYTES = 8192;
@@ -24,7 +25,8 @@
     private final HostPort mAddress;
     private final DefaultBHttpClientConnection mConnection;
     private final ClassicHttpResponse mResponse;
-    private boolean mWholeBodyRead;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
+    private volatile boolean mWholeBodyRead;
 
     private HttpReply(
             HttpLinks links,
@@ -95,6 +97,9 @@
 
     @Override
     public void close() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
         boolean kept = header("Connection").filter("close"::equalsIgnoreCase).isEmpty();
         if (mWholeBodyRead && kept && mConnection.isOpen()) {
             mLinks.keep(mAddress, mConnection);
--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -5,6 +5,8 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.CharacterCodingException;
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import javax.net.ssl.SSLContext;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -12,7 +14,10 @@
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ExceptionListener;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
@@ -37,10 +42,12 @@
     private static final int BACKLOG = 1024;
     private final HttpServer mServer;
     private final HostPort mAddress;
+    private final ConnectionWatch mConnections;
 
-    private HttpService(HttpServer server, HostPort address) {
+    private HttpService(HttpServer server, HostPort address, ConnectionWatch connections) {
         mServer = server;
         mAddress = address;
+        mConnections = connections;
     }
 
     /**
@@ -56,6 +63,7 @@
     public static HttpService start(
             String part, HostPort address, Duration idle, SSLContext tls, HttpHandler handler)
             throws IOException {
+        ConnectionWatch connections = new ConnectionWatch(part);
         HttpServer server =
                 ServerBootstrap.bootstrap()
                         .setLocalAddress(InetAddress.getByName(address.host()))
@@ -72,11 +80,13 @@
                                         .setTcpNoDelay(true)
                                         .setBacklogSize(BACKLOG)
                                         .build())
-                        .setExceptionListener(new QuietListener(part))
+                        .setExceptionListener(connections)
+                        .setStreamListener(connections)
                         .setRequestRouter((request, context) -> adapt(part, handler))
                         .create();
         server.start();
-        return new HttpService(server, new HostPort(address.host(), server.getLocalPort()));
+        HostPort used = new HostPort(address.host(), server.getLocalPort());
+        return new HttpService(server, used, connections);
     }
 
     /** Returns the address in use. */
@@ -84,6 +94,11 @@
         return mAddress;
     }
 
+    /** Returns how many connections have a request that is not answered to its end. */
+    public int busyConnections() {
+        return mConnections.mBusy.size();
+    }
+
     /** Closes the listener and, after the grace time, every connection. */
     public void stop(Duration grace) {
         mServer.initiateShutdown();
@@ -127,14 +142,33 @@
         }
     }
 
-    /** Logs what goes wrong on connections; callers that leave or stay silent are ordinary. */
-    private static final class QuietListener implements ExceptionListener {
+    /**
+     * Knows which connections have a request under way, and logs what goes wrong on them; callers
+     * that leave or stay silent are ordinary.
+     */
+    private static final class ConnectionWatch implements ExceptionListener, Http1StreamListener {
         private final String mPart;
+        private final Set<HttpConnection> mBusy = ConcurrentHashMap.newKeySet();
 
-        QuietListener(String part) {
+        ConnectionWatch(String part) {
             mPart = part;
         }
 
+        @Override
+        public void onRequestHead(HttpConnection connection, HttpRequest request) {
+            mBusy.add(connection);
+        }
+
+        @Override
+        public void onResponseHead(HttpConnection connection, HttpResponse response) {
+            LOG.trace("{}: An answer begins.", mPart);
+        }
+
+        @Override
+        public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
+            mBusy.remove(connection);
+        }
+
         @Override
         public void onError(Exception failure) {
             LOG.debug("{}: The listener reported {}.", mPart, failure.toString());
@@ -142,6 +176,7 @@
 
         @Override
         public void onError(HttpConnection connection, Exception failure) {
+            mBusy.remove(connection);
             boolean ordinary =
                     failure instanceof ConnectionClosedException
                             || failure instanceof SocketTimeoutException
--- /dev/null
+++ b/src/test/java/org/vanilladoor/entry/StopTests.java
@@ -0,0 +1,50 @@
+package org.vanilladoor.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.configuration.TargetsFile;
+import org.vanilladoor.demo.Deployment;
+import org.vanilladoor.demo.LocalFleet;
+
+/** A stop while a request is still on its way in. */
+class StopTests {
+    @Test
+    void aRequestWhoseBodyIsStillOnItsWayIsAnswered() throws Exception {
+        try (LocalFleet fleet =
+                LocalFleet.start(
+                        Deployment.AL_HABSI,
+                        TargetsFile.parse("targets", Deployment.AL_HABSI.targets()),
+                        1)) {
+            Entry entry = fleet.entries().get(0);
+            HostPort address = entry.callerAddress();
+            try (Socket socket = new Socket(address.host(), address.port())) {
+                String head =
+                        "POST /services/ticket-desk/buy HTTP/1.1\r\nHost: x\r\n"
+                                + "Authorization: Bearer "
+                                + fleet.keyOfTeam().get("harbour")
+                                + "\r\nContent-Length: 8\r\n\r\nhalf";
+                socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+                Eventually.within(
+                        Duration.ofSeconds(10), "the head is read", () -> entry.busyCallers() == 1);
+                CompletableFuture<Void> stop = CompletableFuture.runAsync(entry::stop);
+                Eventually.within(
+                        Duration.ofSeconds(10), "the entry drains", () -> !entry.isReady());
+                Eventually.within(Duration.ofSeconds(10), "the grace is over", entry::isStopping);
+                assertThrows(TimeoutException.class, () -> stop.get(3, TimeUnit.SECONDS));
+                socket.getOutputStream().write("half".getBytes(StandardCharsets.UTF_8));
+                byte[] answer = socket.getInputStream().readAllBytes();
+                assertThat(new String(answer, StandardCharsets.UTF_8)).contains("HTTP/1.1 200");
+                stop.join();
+            }
+        }
+    }
+}
