Hand calls over in one place, and import what was spelled out

Cause: reading as a newcomer. ModelRelay and ServiceRelay each kept whether a call may have run; HandOver does now. An endpoint that went away before the sending counted as 'may have run'; nothing was sent, so it does not any more. 35 names with their packages inside the code became imports. Behaviour is otherwise as it was.

--- a/src/main/java/org/vanilladoor/caller/CallerContext.java
+++ b/src/main/java/org/vanilladoor/caller/CallerContext.java
@@ -1,11 +1,11 @@
 package org.vanilladoor.caller;
 
-import java.io.IOException;
 import org.vanilladoor.claim.ClaimLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.dispatch.DispatchGateway;
 import org.vanilladoor.dispatch.EndpointView;
 import org.vanilladoor.http.HttpLinks;
+import org.vanilladoor.http.NotHandedOverException;
 
 /**
  * What the relays of calls share.
@@ -48,13 +48,13 @@
     /**
      * Returns the address of an endpoint.
      *
-     * @throws IOException if the endpoint is no longer known
+     * @throws NotHandedOverException if the endpoint is no longer known
      */
-    HostPort addressOf(String endpoint) throws IOException {
+    HostPort addressOf(String endpoint) throws NotHandedOverException {
         return gateway.query(core -> core.endpoint(endpoint))
                 .join()
                 .map(EndpointView::description)
-                .orElseThrow(() -> new IOException("endpoint is gone: " + endpoint))
+                .orElseThrow(() -> new NotHandedOverException("endpoint is gone: " + endpoint))
                 .hostPort();
     }
 }
--- a/src/main/java/org/vanilladoor/caller/ModelRelay.java
+++ b/src/main/java/org/vanilladoor/caller/ModelRelay.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -36,7 +35,7 @@
     private final HttpExchange mExchange;
     private final Call mCall;
     private final ModelRequest mRequest;
-    private boolean mMayHaveRun;
+    private final HandOver mHandOver;
 
     private ModelRelay(
             CallerContext context, HttpExchange exchange, Call call, ModelRequest request) {
@@ -44,6 +43,7 @@
         mExchange = exchange;
         mCall = call;
         mRequest = request;
+        mHandOver = HandOver.create(context, call);
     }
 
     static ModelRelay create(
@@ -74,9 +74,8 @@
             }
         }
         mContext.observer().failed(mCall);
-        boolean handedOver = mMayHaveRun;
         mExchange.reply(
-                handedOver
+                mHandOver.mayHaveRun()
                         ? Problem.unknown(502, "endpoint-failed", failure, true)
                         : Problem.notRunRetryAfter(UNAVAILABLE, "endpoint-failed", failure, 1));
     }
@@ -85,7 +84,7 @@
         mContext.observer().refused(mCall);
         Decision.Refusal kind = refused.kind();
         mExchange.reply(
-                mMayHaveRun
+                mHandOver.mayHaveRun()
                         ? Problem.unknown(kind.status(), kind.type(), refused.reason(), true)
                         : Problem.notRunRetryAfter(
                                 kind.status(),
@@ -129,28 +128,13 @@
     }
 
     private HttpReply send(String endpoint, HttpCallOut request) throws IOException {
-        HostPort address = mContext.addressOf(endpoint);
-        try {
-            HttpReply reply = mContext.endpoints().send(address, mCall, request, timeLeft());
-            mMayHaveRun = true;
-            mContext.openCalls().attach(mCall.identifier(), reply);
-            if (reply.status() == UNAVAILABLE) {
-                reply.readAll(MAXIMUM_ANSWER_BYTES);
-                reply.close();
-                throw new IOException("endpoint refused the call");
-            }
-            return reply;
-        } catch (org.vanilladoor.http.NotHandedOverException e) {
-            throw e;
-        } catch (IOException e) {
-            mMayHaveRun = true;
-            throw e;
+        HttpReply reply = mHandOver.send(endpoint, request);
+        if (reply.status() == UNAVAILABLE) {
+            reply.readAll(MAXIMUM_ANSWER_BYTES);
+            reply.close();
+            throw new IOException("endpoint refused the call");
         }
-    }
-
-    private Duration timeLeft() {
-        long left = mCall.deadlineMillis() - MonotonicClock.nowMillis();
-        return Duration.ofMillis(Math.max(1, left));
+        return reply;
     }
 
     private void answerWhole(HttpReply reply) throws IOException {
--- a/src/main/java/org/vanilladoor/caller/ServiceRelay.java
+++ b/src/main/java/org/vanilladoor/caller/ServiceRelay.java
@@ -18,7 +18,6 @@
 import org.vanilladoor.http.HttpCallOut;
 import org.vanilladoor.http.HttpExchange;
 import org.vanilladoor.http.HttpReply;
-import org.vanilladoor.http.NotHandedOverException;
 import org.vanilladoor.http.Problem;
 import org.vanilladoor.http.Ran;
 
@@ -40,8 +39,8 @@
     private final Call mCall;
     private final HttpCallOut mRequest;
     private final Optional<Attempt> mAttempt;
+    private final HandOver mHandOver;
     private boolean mClaimed;
-    private boolean mMayHaveRun;
 
     private ServiceRelay(
             CallerContext context,
@@ -54,6 +53,7 @@
         mCall = call;
         mRequest = request;
         mAttempt = attempt;
+        mHandOver = HandOver.create(context, call);
     }
 
     /**
@@ -81,8 +81,8 @@
                                 refused.kind().status(),
                                 refused.kind().type(),
                                 refused.reason(),
-                                mMayHaveRun ? Ran.UNKNOWN : Ran.NO,
-                                mMayHaveRun,
+                                mHandOver.ran(),
+                                mHandOver.mayHaveRun(),
                                 refused.retryAfterSeconds()));
                 return;
             }
@@ -98,7 +98,7 @@
                 mContext.gateway().finish(mCall.identifier(), Outcome.FAILED, 0);
                 LOG.info("caller: Endpoint {} failed: {}.", assigned.endpoint(), e.getMessage());
                 last = failure(e);
-                if (mMayHaveRun && !mCall.workClass().kind().isRepeatable()) {
+                if (mHandOver.mayHaveRun() && !mCall.workClass().kind().isRepeatable()) {
                     break;
                 }
             }
@@ -108,7 +108,7 @@
 
     private Problem failure(IOException failure) {
         String detail = String.valueOf(failure.getMessage());
-        return mMayHaveRun
+        return mHandOver.mayHaveRun()
                 ? Problem.unknown(502, "endpoint-failed", detail, true)
                 : Problem.notRunRetryAfter(503, "endpoint-failed", detail, 1);
     }
@@ -138,7 +138,7 @@
 
     private void refuse(Problem problem) {
         mContext.observer().refused(mCall);
-        if (mAttempt.isEmpty() || mMayHaveRun) {
+        if (mAttempt.isEmpty() || mHandOver.mayHaveRun()) {
             mExchange.reply(problem);
             return;
         }
@@ -204,7 +204,7 @@
 
     private void relay(Decision.Assigned assigned) throws IOException {
         byte[] body;
-        HttpReply reply = send(assigned.endpoint());
+        HttpReply reply = mHandOver.send(assigned.endpoint(), mRequest);
         try (reply) {
             body = reply.readAll(MAXIMUM_ANSWER_BYTES);
         }
@@ -230,27 +230,6 @@
         }
     }
 
-    private HttpReply send(String endpoint) throws IOException {
-        long left = Math.max(1, mCall.deadlineMillis() - MonotonicClock.nowMillis());
-        try {
-            HttpReply reply =
-                    mContext.endpoints()
-                            .send(
-                                    mContext.addressOf(endpoint),
-                                    mCall,
-                                    mRequest,
-                                    Duration.ofMillis(left));
-            mMayHaveRun = true;
-            mContext.openCalls().attach(mCall.identifier(), reply);
-            return reply;
-        } catch (NotHandedOverException e) {
-            throw e;
-        } catch (IOException e) {
-            mMayHaveRun = true;
-            throw e;
-        }
-    }
-
     /** Returns the headers of a caller that a service may see. */
     static Map<String, String> forwardedHeaders(HttpExchange exchange) {
         Map<String, String> headers = new HashMap<>();
--- a/src/main/java/org/vanilladoor/command/CommandFiles.java
+++ b/src/main/java/org/vanilladoor/command/CommandFiles.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.command;
 
 import java.io.IOException;
+import java.nio.charset.MalformedInputException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -42,7 +43,7 @@
             return Files.readString(Path.of(file));
         } catch (NoSuchFileException e) {
             throw new UsageException("No such file: " + file);
-        } catch (java.nio.charset.MalformedInputException e) {
+        } catch (MalformedInputException e) {
             throw new UsageException("File is not UTF-8: " + file);
         }
     }
--- a/src/main/java/org/vanilladoor/command/Main.java
+++ b/src/main/java/org/vanilladoor/command/Main.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
@@ -98,7 +99,7 @@
 
     private static void printHelp(Command command, Options options, PrintStream output) {
         PrintWriter writer = new PrintWriter(output, true);
-        org.apache.commons.cli.HelpFormatter formatter = new org.apache.commons.cli.HelpFormatter();
+        HelpFormatter formatter = new HelpFormatter();
         formatter.printHelp(
                 writer,
                 100,
--- a/src/main/java/org/vanilladoor/command/OperatorClient.java
+++ b/src/main/java/org/vanilladoor/command/OperatorClient.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.command;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import org.apache.commons.cli.CommandLine;
@@ -89,7 +90,7 @@
         }
 
         String text() {
-            return new String(body, java.nio.charset.StandardCharsets.UTF_8);
+            return new String(body, StandardCharsets.UTF_8);
         }
     }
 }
--- a/src/main/java/org/vanilladoor/command/ReportCommand.java
+++ b/src/main/java/org/vanilladoor/command/ReportCommand.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -78,7 +79,7 @@
 
     private static List<LevelRow> collect(String[] entries, String credential, int minutes)
             throws IOException {
-        List<LevelRow> rows = new java.util.ArrayList<>();
+        List<LevelRow> rows = new ArrayList<>();
         for (String entry : entries) {
             try (OperatorClient client =
                     OperatorClient.create(HostPort.parse(entry.trim()), credential)) {
--- a/src/main/java/org/vanilladoor/configuration/Configuration.java
+++ b/src/main/java/org/vanilladoor/configuration/Configuration.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -176,7 +177,7 @@
             Function<T, String> identifier) {
         Map<Integer, List<T>> shards =
                 items.stream()
-                        .sorted(java.util.Comparator.comparing(identifier))
+                        .sorted(Comparator.comparing(identifier))
                         .collect(
                                 Collectors.groupingBy(
                                         item ->
--- a/src/main/java/org/vanilladoor/configuration/ConfigurationHead.java
+++ b/src/main/java/org/vanilladoor/configuration/ConfigurationHead.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.configuration;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -24,6 +25,6 @@
 
     public ConfigurationHead {
         nonces = List.copyOf(nonces);
-        parts = java.util.Collections.unmodifiableMap(new TreeMap<>(parts));
+        parts = Collections.unmodifiableMap(new TreeMap<>(parts));
     }
 }
--- a/src/main/java/org/vanilladoor/configuration/Targets.java
+++ b/src/main/java/org/vanilladoor/configuration/Targets.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
@@ -110,7 +111,7 @@
                                     throw new IllegalArgumentException(
                                             "name stands twice: " + name.apply(first));
                                 },
-                                java.util.TreeMap::new));
+                                TreeMap::new));
     }
 
     /**
--- a/src/main/java/org/vanilladoor/entry/ConfigurationWatcher.java
+++ b/src/main/java/org/vanilladoor/entry/ConfigurationWatcher.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.entry;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
@@ -94,9 +95,8 @@
                                                 })
                                         .orElseGet(
                                                 () ->
-                                                        java.util.concurrent.CompletableFuture
-                                                                .completedFuture(
-                                                                        mKeeper.current())))
+                                                        CompletableFuture.completedFuture(
+                                                                mKeeper.current())))
                 .whenComplete(
                         (configuration, failure) ->
                                 mControl.execute(() -> watched(configuration, failure)));
--- a/src/main/java/org/vanilladoor/entry/Duties.java
+++ b/src/main/java/org/vanilladoor/entry/Duties.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.vanilladoor.common.ControlLoop;
@@ -134,9 +135,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return false;
-        } catch (java.util.concurrent.ExecutionException
-                | TimeoutException
-                | CompletionException e) {
+        } catch (ExecutionException | TimeoutException | CompletionException e) {
             return false;
         }
     }
--- a/src/main/java/org/vanilladoor/entry/LoadBoard.java
+++ b/src/main/java/org/vanilladoor/entry/LoadBoard.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import org.vanilladoor.endpoint.LoadReport;
@@ -60,7 +61,7 @@
         return dated == null ? Long.MAX_VALUE : nowMillis - dated.takenMillis();
     }
 
-    void retain(java.util.Set<String> endpoints) {
+    void retain(Set<String> endpoints) {
         mReports.keySet().retainAll(endpoints);
     }
 
--- a/src/main/java/org/vanilladoor/entry/OrderDuty.java
+++ b/src/main/java/org/vanilladoor/entry/OrderDuty.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -36,7 +37,7 @@
     private final LeasedScope mScope;
     private final WriterWatch mWriters;
     private final EndpointOrders mSender;
-    private final Map<String, HostPort> mAddresses = new java.util.concurrent.ConcurrentHashMap<>();
+    private final Map<String, HostPort> mAddresses = new ConcurrentHashMap<>();
     private final Map<String, RoleCore> mRoles = new TreeMap<>();
     private final Map<String, RoleChangeProcess> mChanges = new TreeMap<>();
     private final Map<String, Map<String, RoleChangeProcess.Confirmation>> mConfirmations =
--- a/src/main/java/org/vanilladoor/entry/TlsContexts.java
+++ b/src/main/java/org/vanilladoor/entry/TlsContexts.java
@@ -7,8 +7,10 @@
 import java.security.GeneralSecurityException;
 import java.security.KeyStore;
 import java.util.Optional;
+import javax.net.ssl.KeyManager;
 import javax.net.ssl.KeyManagerFactory;
 import javax.net.ssl.SSLContext;
+import javax.net.ssl.X509ExtendedKeyManager;
 import org.vanilladoor.settings.EntrySettings;
 
 /**
@@ -33,17 +35,14 @@
         char[] password = settings.tlsKeyStorePassword().toCharArray();
         try {
             SSLContext context = SSLContext.getInstance("TLS");
-            context.init(
-                    new javax.net.ssl.KeyManager[] {ReloadingKeyManager.create(file, password)},
-                    null,
-                    null);
+            context.init(new KeyManager[] {ReloadingKeyManager.create(file, password)}, null, null);
             return Optional.of(context);
         } catch (GeneralSecurityException e) {
             throw new IOException("key store can't be used: " + file, e);
         }
     }
 
-    static javax.net.ssl.X509ExtendedKeyManager load(Path file, char[] password)
+    static X509ExtendedKeyManager load(Path file, char[] password)
             throws IOException, GeneralSecurityException {
         KeyStore store = KeyStore.getInstance("PKCS12");
         try (InputStream input = Files.newInputStream(file)) {
@@ -52,6 +51,6 @@
         KeyManagerFactory factory =
                 KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
         factory.init(store, password);
-        return (javax.net.ssl.X509ExtendedKeyManager) factory.getKeyManagers()[0];
+        return (X509ExtendedKeyManager) factory.getKeyManagers()[0];
     }
 }
--- a/src/main/java/org/vanilladoor/entry/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/entry/UsageDuty.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.entry;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import org.vanilladoor.platform.StoredObject;
 import org.vanilladoor.platform.UsageReport;
 import org.vanilladoor.usage.SealedWindow;
+import org.vanilladoor.usage.TeamCounts;
 import org.vanilladoor.usage.UsageWindow;
 
 /**
@@ -208,7 +210,7 @@
             mScope.orders().settled(right.identifier(), MonotonicClock.nowMillis());
         } else if (mScope.orders().mayAct(MonotonicClock.nowMillis()) && mTerm == right.term()) {
             // The right is still this process's own; what is missing is found by reading again.
-            mContext.control().delay(java.time.Duration.ofSeconds(1), () -> retry(right, sealed));
+            mContext.control().delay(Duration.ofSeconds(1), () -> retry(right, sealed));
         }
     }
 
@@ -221,8 +223,7 @@
 
     private CompletableFuture<Void> sendMissing(SealedWindow sealed, List<UsageReport> present) {
         CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
-        for (Map.Entry<String, org.vanilladoor.usage.TeamCounts> figure :
-                new TreeMap<>(sealed.figures()).entrySet()) {
+        for (Map.Entry<String, TeamCounts> figure : new TreeMap<>(sealed.figures()).entrySet()) {
             boolean reported =
                     present.stream().anyMatch(each -> each.team().equals(figure.getKey()));
             if (!reported) {
--- a/src/main/java/org/vanilladoor/entry/WriterWatch.java
+++ b/src/main/java/org/vanilladoor/entry/WriterWatch.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.generated.StopOrdersRequest;
 import org.vanilladoor.membership.MemberRecord;
 import org.vanilladoor.order.OpenOrder;
@@ -110,9 +111,7 @@
                             mAsked.remove(order.identifier());
                             if (failure == null && reply.isStopped()) {
                                 scope.orders()
-                                        .writerGone(
-                                                order.writer(),
-                                                org.vanilladoor.common.MonotonicClock.nowMillis());
+                                        .writerGone(order.writer(), MonotonicClock.nowMillis());
                             }
                         },
                         mContext.control()::execute);
--- a/src/main/java/org/vanilladoor/http/HttpCallOut.java
+++ b/src/main/java/org/vanilladoor/http/HttpCallOut.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.http;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 
@@ -42,7 +43,7 @@
 
     /** Returns the same request with one header more. */
     public HttpCallOut withHeader(String name, String value) {
-        Map<String, String> more = new java.util.HashMap<>(headers);
+        Map<String, String> more = new HashMap<>(headers);
         more.put(name, value);
         return new HttpCallOut(method, target, more, contentType, body, repeatable);
     }
--- a/src/main/java/org/vanilladoor/http/HttpLinks.java
+++ b/src/main/java/org/vanilladoor/http/HttpLinks.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
 import org.vanilladoor.common.HostPort;
 
 /**
@@ -59,8 +60,7 @@
         DefaultBHttpClientConnection connection =
                 request.repeatable() ? reuseOrConnect(address) : connect(address);
         try {
-            connection.setSocketTimeout(
-                    org.apache.hc.core5.util.Timeout.ofMilliseconds(readTimeout.toMillis()));
+            connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeout.toMillis()));
             ClassicHttpResponse response =
                     mExecutor.execute(
                             message(address, request), connection, HttpCoreContext.create());
--- a/src/main/java/org/vanilladoor/measure/AddedLatency.java
+++ b/src/main/java/org/vanilladoor/measure/AddedLatency.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -70,7 +72,7 @@
 
     private static void drive(HostPort address, HttpCallOut request, int calls, Histogram times) {
         ExecutorService threads = ThreadPools.traffic("measure");
-        try (HttpLinks links = HttpLinks.create(java.time.Duration.ofSeconds(2))) {
+        try (HttpLinks links = HttpLinks.create(Duration.ofSeconds(2))) {
             List<CompletableFuture<Void>> callers = new ArrayList<>();
             for (int i = 0; i < CALLERS; i++) {
                 callers.add(
@@ -88,13 +90,13 @@
             HttpLinks links, HostPort address, HttpCallOut request, int calls, Histogram times) {
         for (int i = 0; i < calls; i++) {
             long begin = System.nanoTime();
-            try (HttpReply reply = links.send(address, request, java.time.Duration.ofSeconds(10))) {
+            try (HttpReply reply = links.send(address, request, Duration.ofSeconds(10))) {
                 reply.readAll(1_000_000);
                 if (reply.status() != 200) {
                     throw new IOException("answered " + reply.status());
                 }
             } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
+                throw new UncheckedIOException(e);
             }
             times.recordValue(System.nanoTime() - begin);
         }
--- a/src/main/java/org/vanilladoor/measure/EntrySlope.java
+++ b/src/main/java/org/vanilladoor/measure/EntrySlope.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.measure;
 
+import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
@@ -69,8 +70,7 @@
     }
 
     private static long processorNanos() {
-        return ((com.sun.management.OperatingSystemMXBean)
-                        ManagementFactory.getOperatingSystemMXBean())
+        return ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
                 .getProcessCpuTime();
     }
 
--- a/src/main/java/org/vanilladoor/measure/MessageSlope.java
+++ b/src/main/java/org/vanilladoor/measure/MessageSlope.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import org.apache.thrift.TBase;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
@@ -69,7 +70,7 @@
         return new CounterBatch(CREDENTIAL, List.of(INCARNATION), counters);
     }
 
-    private static int bytes(org.apache.thrift.TBase<?, ?> message) {
+    private static int bytes(TBase<?, ?> message) {
         try {
             return new TSerializer(new TCompactProtocol.Factory()).serialize(message).length;
         } catch (TException e) {
--- a/src/main/java/org/vanilladoor/measure/Propagation.java
+++ b/src/main/java/org/vanilladoor/measure/Propagation.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
@@ -34,7 +35,7 @@
         Histogram times = new Histogram(LARGEST_MILLIS, 3);
         int entries = Deployment.AL_HABSI.entries();
         try (LocalFleet fleet = LocalFleet.start(Deployment.AL_HABSI, targets, entries);
-                HttpLinks links = HttpLinks.create(java.time.Duration.ofSeconds(2))) {
+                HttpLinks links = HttpLinks.create(Duration.ofSeconds(2))) {
             LockSupport.parkNanos(SETTLE_NANOS);
             for (int i = 0; i < CHANGES; i++) {
                 times.recordValue(Math.min(LARGEST_MILLIS, changeOnce(fleet, links, i)));
@@ -63,7 +64,7 @@
                         false);
         long begin = System.nanoTime();
         try (HttpReply reply =
-                links.send(entry.operatorAddress(), request, java.time.Duration.ofSeconds(10))) {
+                links.send(entry.operatorAddress(), request, Duration.ofSeconds(10))) {
             reply.readAll(1_000_000);
         }
         while (fleet.entries().stream().anyMatch(e -> e.configuration().version() <= version)) {
--- a/src/main/java/org/vanilladoor/peer/PeerClient.java
+++ b/src/main/java/org/vanilladoor/peer/PeerClient.java
@@ -10,6 +10,7 @@
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TSocket;
 import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.generated.Peer;
@@ -63,7 +64,7 @@
         if (kept != null) {
             try {
                 return answer(idle, kept, call);
-            } catch (org.apache.thrift.transport.TTransportException e) {
+            } catch (TTransportException e) {
                 // The peer may have closed a kept connection; peer calls may be repeated.
                 kept.transport().close();
             }
--- a/src/main/java/org/vanilladoor/platform/CallKind.java
+++ b/src/main/java/org/vanilladoor/platform/CallKind.java
@@ -1,5 +1,7 @@
 package org.vanilladoor.platform;
 
+import java.util.Locale;
+
 /**
  * Kinds of calls to the platform, counted and limited apart.
  *
@@ -17,6 +19,6 @@
 
     /** Returns the name of the counter of this kind. */
     public String metricName() {
-        return "platform.calls." + name().toLowerCase(java.util.Locale.ROOT);
+        return "platform.calls." + name().toLowerCase(Locale.ROOT);
     }
 }
--- a/src/main/java/org/vanilladoor/replay/ReplayTally.java
+++ b/src/main/java/org/vanilladoor/replay/ReplayTally.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.vanilladoor.caller.CallObserver;
 import org.vanilladoor.dispatch.Call;
 import org.vanilladoor.dispatch.Decision;
@@ -175,7 +176,7 @@
         }
     }
 
-    private void each(Call call, java.util.function.Consumer<Counts> change) {
+    private void each(Call call, Consumer<Counts> change) {
         if (!call.repeat()) {
             change.accept(mFirstTries);
             change.accept(mByClass.computeIfAbsent(call.workClass().name(), key -> new Counts()));
--- a/src/main/java/org/vanilladoor/report/BurnReport.java
+++ b/src/main/java/org/vanilladoor/report/BurnReport.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -62,7 +63,7 @@
                                                                     minutes, counts))));
                 });
         lines.sort(
-                java.util.Comparator.comparing(Line::workClass)
+                Comparator.comparing(Line::workClass)
                         .thenComparing(Line::team)
                         .thenComparingInt(Line::minutes));
         return new BurnReport(lines);
--- a/src/main/java/org/vanilladoor/standin/PlatformStandIn.java
+++ b/src/main/java/org/vanilladoor/standin/PlatformStandIn.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.http.HttpExchange;
@@ -259,7 +260,7 @@
     private void delay() {
         int millis = mFaults.answerDelayMillis();
         if (millis > 0) {
-            java.util.concurrent.locks.LockSupport.parkNanos(millis * 1_000_000L);
+            LockSupport.parkNanos(millis * 1_000_000L);
         }
     }
 
--- a/src/test/java/org/vanilladoor/claim/ClaimFuzzTests.java
+++ b/src/test/java/org/vanilladoor/claim/ClaimFuzzTests.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -94,7 +95,7 @@
             }
         }
 
-        private void each(int detail, java.util.function.Consumer<Tried> action) {
+        private void each(int detail, Consumer<Tried> action) {
             if (!mTried.isEmpty()) {
                 action.accept(mTried.get(detail % mTried.size()));
             }
--- a/src/test/java/org/vanilladoor/configuration/ConfigurationFuzzTests.java
+++ b/src/test/java/org/vanilladoor/configuration/ConfigurationFuzzTests.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -111,7 +112,7 @@
             assertThat(keeper.current().version()).isEqualTo(Math.max(before, offered.version()));
         }
 
-        private java.util.Optional<Configuration> present() {
+        private Optional<Configuration> present() {
             return mTable.read(ConfigurationHead.OBJECT)
                     .map(object -> Json.read(object.content(), ConfigurationHead.class))
                     .map(
