--- a/src/main/java/org/vanilladoor/command/Main.java
+++ b/src/main/java/org/vanilladoor/command/Main.java
@@ -60,6 +60,7 @@
                 new StatusCommand(),
                 new ExplainCommand(),
                 new ReportCommand(),
+                new LoadCommand(),
                 new ReplayCommand(),
                 new MeasureCommand());
     }
--- a/src/main/java/org/vanilladoor/demo/Demo.java
+++ b/src/main/java/org/vanilladoor/demo/Demo.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.configuration.Targets;
 import org.vanilladoor.configuration.TargetsFile;
@@ -15,6 +17,8 @@
 import org.vanilladoor.load.LoadDriver;
 import org.vanilladoor.load.LoadMix;
 import org.vanilladoor.load.LoadTally;
+import org.vanilladoor.report.BurnReport;
+import org.vanilladoor.report.LevelRow;
 import org.vanilladoor.standin.EndpointRecord;
 import org.vanilladoor.standin.EngineStandIn;
 import org.vanilladoor.standin.ServiceStandIn;
@@ -46,6 +50,9 @@
             LoadTally tally =
                     LoadDriver.create(addresses, targets, mix).run(CALLS_PER_SECOND, seconds);
             output.println(tally.toText());
+            Path report = Files.createTempFile("vanilladoor-burn-", ".html");
+            Files.writeString(report, burn(fleet, targets).toHtml());
+            output.println("burn report written to " + report);
             return judge(fleet, tally, output);
         }
     }
@@ -71,8 +78,19 @@
                 fleet.entries().get(0).callerAddress(), key, model);
     }
 
-    private static boolean judge(LocalFleet fleet, LoadTally tally, PrintStream output)
-            throws IOException {
+    private static BurnReport burn(LocalFleet fleet, Targets targets) {
+        Map<Integer, List<LevelRow>> rows = new TreeMap<>();
+        for (int minutes : BurnReport.WINDOW_MINUTES) {
+            rows.put(
+                    minutes,
+                    fleet.entries().stream()
+                            .flatMap(entry -> entry.levels(minutes).stream())
+                            .toList());
+        }
+        return BurnReport.of(targets, rows);
+    }
+
+    private static boolean judge(LocalFleet fleet, LoadTally tally, PrintStream output) {
         int doubled = 0;
         Set<String> credentials = new HashSet<>();
         for (ServiceStandIn service : fleet.standIns().services().values()) {
@@ -93,13 +111,10 @@
         boolean leaked =
                 credentials.stream()
                         .anyMatch(each -> !each.equals("Bearer " + LocalFleet.CREDENTIAL));
-        Path report = Files.createTempFile("vanilladoor-load-", ".txt");
-        Files.writeString(report, tally.toText());
         output.printf(
                 "purchases run %d, doubled %d; wrong answers %d; requests cut by role changes %d;"
                         + " callers' keys at endpoints: %s%n",
                 keys.size(), doubled, tally.wrong(), cut, leaked ? "SEEN" : "none");
-        output.println("table written to " + report);
         return doubled == 0 && tally.wrong() == 0 && cut == 0 && !leaked;
     }
 }
--- a/src/main/java/org/vanilladoor/entry/Entry.java
+++ b/src/main/java/org/vanilladoor/entry/Entry.java
@@ -27,6 +27,7 @@
 import org.vanilladoor.membership.MemberRecord;
 import org.vanilladoor.peer.PeerServer;
 import org.vanilladoor.platform.HttpPlatform;
+import org.vanilladoor.report.LevelRow;
 import org.vanilladoor.report.ServiceLevels;
 import org.vanilladoor.settings.EntrySettings;
 
@@ -111,6 +112,11 @@
         return mStopping;
     }
 
+    /** Returns how calls went against their targets in the last minutes. */
+    public List<LevelRow> levels(int minutes) {
+        return mServiceLevels.rows(minutes);
+    }
+
     /** Returns how many calls this process has sent to the platform, by kind. */
     public Map<String, Long> platformCalls() {
         Map<String, Long> calls = new TreeMap<>();
@@ -191,10 +197,6 @@
         return mGateway;
     }
 
-    ServiceLevels serviceLevels() {
-        return mServiceLevels;
-    }
-
     List<MemberRecord> members() {
         return mNetwork.live().join();
     }
--- a/src/main/java/org/vanilladoor/entry/OperatorHandler.java
+++ b/src/main/java/org/vanilladoor/entry/OperatorHandler.java
@@ -125,7 +125,7 @@
 
     private void levels(HttpExchange exchange) {
         int minutes = exchange.query("minutes").map(Integer::parseInt).orElse(DEFAULT_MINUTES);
-        exchange.replyJson(200, Json.write(mEntry.serviceLevels().rows(minutes)));
+        exchange.replyJson(200, Json.write(mEntry.levels(minutes)));
     }
 
     private void configuration(HttpExchange exchange) throws IOException {
