Report the windows of a long outage, whoever takes over

Cause: found by reading. A new holder of a usage shard looked at the last six sealed windows only; when reports could not be sent for longer and the holder went, the windows before those were never reported. Test first: FleetTests.windowsSealedInALongOutageAreReportedByWhoeverTakesOver, red before ('all calls are reported within PT1M30S'), green after. Now a mark says up to which window a shard is known to be reported, and a new holder goes through all above it, 20 at a time and one read after the other. Ruled out: deleting reported windows as the mark: a holder that was frozen while sealing could create a deleted window anew with other figures.

--- a/src/main/java/org/vanilladoor/entry/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/entry/UsageDuty.java
@@ -16,6 +16,7 @@
 import org.vanilladoor.platform.ObjectStore;
 import org.vanilladoor.platform.StoredObject;
 import org.vanilladoor.platform.UsageReport;
+import org.vanilladoor.usage.ReportedMark;
 import org.vanilladoor.usage.SealedWindow;
 import org.vanilladoor.usage.TeamCounts;
 import org.vanilladoor.usage.UsageWindow;
@@ -34,6 +35,8 @@
     private final LeasedScope mScope;
     private final int mShard;
     private final Map<Long, SealedWindow> mUnreported = new TreeMap<>();
+    private final ReportedMark mReported;
+    private long mLoadedThrough = Long.MAX_VALUE;
     private SealedWindow mLast;
     private long mTerm;
     private boolean mBusy;
@@ -42,6 +45,7 @@
         mContext = context;
         mScope = scope;
         mShard = shard;
+        mReported = ReportedMark.create(context.platform(), shard);
     }
 
     static UsageDuty create(EntryContext context, LeasedScope scope, int shard) {
@@ -83,25 +87,33 @@
 
     /** Finds the last sealed window and those that may not have been reported. */
     private CompletableFuture<Void> load() {
-        return mContext.platform()
-                .list("usage/" + mShard + "/")
-                .thenCompose(this::readLatest)
+        return mReported
+                .read()
+                .thenCompose(
+                        reported ->
+                                mContext.platform()
+                                        .list("usage/" + mShard + "/")
+                                        .thenApply(names -> mReported.toLookAt(names, reported)))
+                .thenCompose(this::readAll)
                 .thenAcceptAsync(this::loaded, mContext.control()::execute);
     }
 
-    private CompletableFuture<List<SealedWindow>> readLatest(List<String> names) {
-        int keep = 6;
-        List<String> latest = names.subList(Math.max(0, names.size() - keep), names.size());
+    /** Reads one after the other, so that a long outage does not use up the call budget at once. */
+    private CompletableFuture<List<SealedWindow>> readAll(List<String> names) {
         CompletableFuture<List<SealedWindow>> all =
                 CompletableFuture.completedFuture(new ArrayList<>());
-        for (String name : latest) {
+        for (String name : names) {
             all =
-                    all.thenCombine(
-                            mContext.platform().read(name),
-                            (windows, found) -> {
-                                found.map(UsageDuty::parse).ifPresent(windows::add);
-                                return windows;
-                            });
+                    all.thenCompose(
+                            windows ->
+                                    mContext.platform()
+                                            .read(name)
+                                            .thenApply(
+                                                    found -> {
+                                                        found.map(UsageDuty::parse)
+                                                                .ifPresent(windows::add);
+                                                        return windows;
+                                                    }));
         }
         return all;
     }
@@ -110,6 +122,17 @@
         long current = UsageWindow.at(System.currentTimeMillis());
         mLast = windows.isEmpty() ? SealedWindow.before(current) : windows.get(windows.size() - 1);
         windows.forEach(window -> mUnreported.put(window.window(), window));
+        mLoadedThrough = contiguous(windows);
+    }
+
+    /** Returns the last window before a gap, or a window that never comes if there is none. */
+    private static long contiguous(List<SealedWindow> windows) {
+        for (int i = 1; i < windows.size(); i++) {
+            if (windows.get(i).window() > windows.get(i - 1).window() + 1) {
+                return windows.get(i - 1).window();
+            }
+        }
+        return Long.MAX_VALUE;
     }
 
     /** Asks every member for the counts it has. */
@@ -208,12 +231,26 @@
         if (failure == null) {
             mUnreported.remove(window);
             mScope.orders().settled(right.identifier(), MonotonicClock.nowMillis());
+            markReported();
         } else if (mScope.orders().mayAct(MonotonicClock.nowMillis()) && mTerm == right.term()) {
             // The right is still this process's own; what is missing is found by reading again.
             mContext.control().delay(Duration.ofSeconds(1), () -> retry(right, sealed));
         }
     }
 
+    /** Moves the mark, and loads further windows if a long outage left more than were looked at. */
+    private void markReported() {
+        if (mLast == null) {
+            return;
+        }
+        long through =
+                mUnreported.isEmpty() ? mLast.window() : mUnreported.keySet().iterator().next() - 1;
+        mReported.advance(Math.min(through, mLoadedThrough));
+        if (through >= mLoadedThrough && mLoadedThrough < mLast.window()) {
+            mLast = null;
+        }
+    }
+
     private void retry(OpenOrder right, SealedWindow sealed) {
         boolean own = mScope.orders().mayAct(MonotonicClock.nowMillis()) && mTerm == right.term();
         if (own && mUnreported.containsKey(sealed.window())) {
--- a/src/test/java/org/vanilladoor/entry/FleetTests.java
+++ b/src/test/java/org/vanilladoor/entry/FleetTests.java
@@ -29,8 +29,10 @@
 import org.vanilladoor.load.CallerClient;
 import org.vanilladoor.load.PlannedCall;
 import org.vanilladoor.peer.PeerClient;
+import org.vanilladoor.platform.UsageReport;
 import org.vanilladoor.standin.PlatformFaults;
 import org.vanilladoor.standin.ServiceStandIn;
+import org.vanilladoor.usage.SealedWindow;
 
 /** Entries as processes that are killed, frozen and stopped; the stand-ins' records judge. */
 class FleetTests {
@@ -267,6 +269,33 @@
         assertThat(new HashSet<>(reported)).isNotEmpty();
     }
 
+    @Test
+    void windowsSealedInALongOutageAreReportedByWhoeverTakesOver() throws Exception {
+        mFleet.standIns().platform().setFaults(new PlatformFaults(false, true, false, 0, 0));
+        for (int i = 0; i < 10; i++) {
+            mClient.chat(mEntries.get(i % 3).callers(), chat(5), System.nanoTime());
+        }
+        String prefix = "usage/" + SealedWindow.shardOf(TEAM) + "/";
+        Eventually.within(
+                Duration.ofSeconds(150),
+                "more windows are sealed than a new holder would read at once",
+                () -> mFleet.standIns().platform().objects().list(prefix).size() >= 9);
+        for (int i = 0; i < 3; i++) {
+            mEntries.get(i).kill();
+            mEntries.set(i, EntryProcess.start(mFleet.settings(i)));
+        }
+        mFleet.standIns().platform().setFaults(PlatformFaults.NONE);
+        Eventually.within(
+                Duration.ofSeconds(90),
+                "all calls are reported",
+                () ->
+                        mFleet.standIns().platform().record().usage().stream()
+                                        .filter(report -> report.team().equals(TEAM))
+                                        .mapToLong(UsageReport::requests)
+                                        .sum()
+                                == 10);
+    }
+
     @Test
     void ofTwoOperatorsWhoApplyAtOnceForTheSameVersionOneIsRefused() throws Exception {
         String targets = Deployment.AL_HABSI.targets();
--- /dev/null
+++ b/src/test/java/org/vanilladoor/membership/MembershipCoreTests.java
@@ -0,0 +1,77 @@
+package org.vanilladoor.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.common.HostPort;
+
+/** Who is known, who is heard, and whom to talk to. */
+class MembershipCoreTests {
+    private static final HostPort SEED = new HostPort("10.0.0.9", 8201);
+    private final MembershipCore mCore =
+            MembershipCore.create(
+                    member("self", "1-a", "d1", 1, false), List.of(SEED), new Random(1));
+
+    private static MemberRecord member(
+            String name, String incarnation, String domain, long heartbeat, boolean leaving) {
+        HostPort address = new HostPort("10.0.0." + (1 + name.length()), 8201);
+        return new MemberRecord(name, incarnation, domain, address, heartbeat, leaving);
+    }
+
+    private List<String> live(long now) {
+        return mCore.live(now).stream().map(MemberRecord::name).toList();
+    }
+
+    @Test
+    void aProcessThatKnowsNobodyTalksToASeed() {
+        assertThat(mCore.partner(0)).hasValue(SEED);
+    }
+
+    @Test
+    void aSilentMemberIsNotLiveButStillKnown() {
+        mCore.merge(List.of(member("other", "1-b", "d1", 5, false)), 0);
+        assertThat(live(1_000)).containsExactly("self", "other");
+        assertThat(live(5_000)).containsExactly("self");
+        assertThat(mCore.others()).hasSize(1);
+    }
+
+    @Test
+    void anOldHeartbeatKeepsNobodyAlive() {
+        mCore.merge(List.of(member("other", "1-b", "d1", 5, false)), 0);
+        mCore.merge(List.of(member("other", "1-b", "d1", 5, false)), 4_000);
+        mCore.merge(List.of(member("other", "1-b", "d1", 4, false)), 4_000);
+        assertThat(live(5_000)).containsExactly("self");
+    }
+
+    @Test
+    void aLaterIncarnationReplacesAnEarlierOneAndIsNotReplacedByIt() {
+        mCore.merge(List.of(member("other", "2-c", "d1", 1, false)), 0);
+        mCore.merge(List.of(member("other", "1-b", "d1", 900, false)), 0);
+        assertThat(mCore.others().get(0).incarnation()).isEqualTo("2-c");
+    }
+
+    @Test
+    void aMemberThatIsLeavingIsNotLive() {
+        mCore.merge(List.of(member("other", "1-b", "d1", 5, true)), 0);
+        assertThat(live(0)).containsExactly("self");
+    }
+
+    @Test
+    void whatOthersSayOfThisProcessChangesNothing() {
+        mCore.merge(List.of(member("self", "9-z", "d2", 900, true)), 0);
+        assertThat(mCore.self().incarnation()).isEqualTo("1-a");
+        assertThat(live(0)).containsExactly("self");
+    }
+
+    @Test
+    void namesOfAFailureDomainLeaveOthersOut() {
+        mCore.merge(
+                List.of(
+                        member("near", "1-b", "d1", 5, false),
+                        member("far-away", "1-c", "d2", 5, false)),
+                0);
+        assertThat(mCore.liveNames("d1", 0)).containsExactly("self", "near");
+    }
+}
