Let a process settle what an earlier process of its VM left open

A writer counts as gone when a later process of its VM is heard of, but a process does not hear of itself: where the successor on the same VM became the holder, its predecessor's open rights and orders were never settled. Now an earlier process of the own VM counts as gone: this one has its address.

--- a/src/main/java/org/vanilladoor/entry/WriterWatch.java
+++ b/src/main/java/org/vanilladoor/entry/WriterWatch.java
@@ -76,6 +76,10 @@
 
     private boolean isGone(String writer) {
         String machine = EntryContext.machineOf(writer);
+        if (machine.equals(mContext.settings().name())) {
+            // An earlier process of this VM: this one has its address, so that one has ended.
+            return true;
+        }
         boolean listedAsGone =
                 mMachines.stream()
                         .anyMatch(
--- a/src/test/java/org/vanilladoor/entry/FleetTests.java
+++ b/src/test/java/org/vanilladoor/entry/FleetTests.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -296,6 +297,37 @@
                                 == 10);
     }
 
+    @Test
+    void aSuccessorOnTheSameMachineSettlesWhatItsPredecessorLeftOpen() throws Exception {
+        mEntries.get(1).kill();
+        mEntries.get(2).kill();
+        mFleet.standIns().platform().setFaults(new PlatformFaults(false, true, false, 0, 0));
+        mClient.chat(mEntries.get(0).callers(), chat(5), System.nanoTime());
+        String lease = "lease/usage-" + SealedWindow.shardOf(TEAM);
+        Eventually.within(
+                Duration.ofSeconds(60),
+                "the right to report is open",
+                () ->
+                        mFleet.standIns()
+                                .platform()
+                                .objects()
+                                .read(lease)
+                                .filter(
+                                        object ->
+                                                new String(object.content(), UTF_8)
+                                                        .contains("window-"))
+                                .isPresent());
+        mEntries.get(0).kill();
+        mEntries.set(0, EntryProcess.start(mFleet.settings(0)));
+        mFleet.standIns().platform().setFaults(PlatformFaults.NONE);
+        Eventually.within(
+                Duration.ofSeconds(60),
+                "the call is reported",
+                () ->
+                        mFleet.standIns().platform().record().usage().stream()
+                                .anyMatch(report -> report.team().equals(TEAM)));
+    }
+
     @Test
     void ofTwoOperatorsWhoApplyAtOnceForTheSameVersionOneIsRefused() throws Exception {
         String targets = Deployment.AL_HABSI.targets();
