Drop empty lines of the queue where they arise

A line whose calls all became late stayed empty in the queue and was filtered out at each look; it goes at once now, which also makes the filters needless. The teams that wait were gathered twice for each call that came in, once now. The replay kept its policies without use.

--- a/src/main/java/org/vanilladoor/dispatch/FairQueue.java
+++ b/src/main/java/org/vanilladoor/dispatch/FairQueue.java
@@ -43,8 +43,9 @@
     }
 
     void add(Call call) {
-        if (isIdle(call.team())) {
-            liftToLeastServed(call.team());
+        Set<String> waiting = waitingTeams();
+        if (!waiting.contains(call.team())) {
+            liftToLeastServed(call.team(), waiting);
         }
         line(mWaiting, call).add(call);
         mSize++;
@@ -64,6 +65,7 @@
      */
     List<Call> heads(long nowMillis) {
         mWaiting.values().forEach(calls -> moveLate(calls, nowMillis));
+        mWaiting.values().removeIf(PriorityQueue::isEmpty);
         List<Call> heads = new ArrayList<>(sortedHeads(mWaiting));
         heads.addAll(sortedHeads(mLate));
         return heads;
@@ -95,11 +97,7 @@
     }
 
     private List<Call> sortedHeads(Map<Line, PriorityQueue<Call>> lines) {
-        return lines.values().stream()
-                .filter(calls -> !calls.isEmpty())
-                .map(PriorityQueue::peek)
-                .sorted(order())
-                .toList();
+        return lines.values().stream().map(PriorityQueue::peek).sorted(order()).toList();
     }
 
     private static PriorityQueue<Call> line(Map<Line, PriorityQueue<Call>> lines, Call call) {
@@ -115,15 +113,10 @@
         return removed;
     }
 
-    private boolean isIdle(String team) {
-        return !waitingTeams().contains(team);
-    }
-
     private Set<String> waitingTeams() {
         Set<String> teams = new TreeSet<>();
         Stream.of(mWaiting, mLate)
                 .flatMap(lines -> lines.entrySet().stream())
-                .filter(line -> !line.getValue().isEmpty())
                 .forEach(line -> teams.add(line.getKey().team()));
         return teams;
     }
@@ -143,8 +136,8 @@
         return mServed.getOrDefault(team, 0.0);
     }
 
-    private void liftToLeastServed(String team) {
-        waitingTeams().stream()
+    private void liftToLeastServed(String team, Set<String> waiting) {
+        waiting.stream()
                 .mapToDouble(this::served)
                 .min()
                 .ifPresent(least -> mServed.merge(team, least, Math::max));
--- a/src/main/java/org/vanilladoor/replay/Replay.java
+++ b/src/main/java/org/vanilladoor/replay/Replay.java
@@ -40,7 +40,6 @@
     private static final double KV_MOVE_BASE_MILLIS = 5;
     private static final long TAIL_MILLIS = 130_000;
     private final Targets mTargets;
-    private final Policies mPolicies;
     private final List<DispatchCore> mCores = new ArrayList<>();
     private final Map<String, ReplayEngine> mEngines = new TreeMap<>();
     private final RoleCore mRoles;
@@ -54,7 +53,6 @@
 
     private Replay(ReplayFleet fleet, Targets targets, Policies policies) {
         mTargets = targets;
-        mPolicies = policies;
         mRoles = RoleCore.create(policies.roles(), EngineProfile.standard());
         var descriptions = fleet.engines();
         for (int i = 0; i < descriptions.size(); i++) {
