--- a/src/main/java/org/vanilladoor/transport/Links.java
+++ b/src/main/java/org/vanilladoor/transport/Links.java
@@ -1,9 +1,11 @@
 package org.vanilladoor.transport;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.Future;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
@@ -41,6 +43,10 @@
     private static final int PROBE_SECONDS = 1;
 
     private static final int PROBES = 3;
+
+    /** Silence after which HttpCore closes a connection; callers of this class wait far less. */
+    private static final Timeout IDLE_TIMEOUT = Timeout.ofMinutes(2);
+
     private final ControlLoop mControl;
     private final HttpAsyncRequester mRequester;
     private final Map<HostPort, Deque<Link>> mIdle = new HashMap<>();
@@ -57,7 +63,7 @@
                         .setIOReactorConfig(
                                 IOReactorConfig.custom()
                                         .setIoThreadCount(1)
-                                        .setSoTimeout(Timeout.ofMinutes(2))
+                                        .setSoTimeout(IDLE_TIMEOUT)
                                         .setTcpNoDelay(true)
                                         .setSoKeepAlive(true)
                                         .setTcpKeepIdle(PROBE_SECONDS)
@@ -142,24 +148,36 @@
     }
 
     private void connect(HostPort address, long connectMillis, OutgoingCall call) {
-        mRequester.connect(
-                new HttpHost("http", address.host(), address.port()),
-                Timeout.ofMilliseconds(connectMillis),
-                null,
-                new FutureCallback<>() {
-                    @Override
-                    public void completed(AsyncClientEndpoint endpoint) {
-                        mControl.execute(() -> call.sendOn(new Link(address, endpoint)));
-                    }
+        // HttpCore keeps the time-out of connecting for the connection's whole life, so the time to
+        // connect is watched here.
+        Future<AsyncClientEndpoint> connecting =
+                mRequester.connect(
+                        new HttpHost("http", address.host(), address.port()),
+                        IDLE_TIMEOUT,
+                        null,
+                        new FutureCallback<>() {
+                            @Override
+                            public void completed(AsyncClientEndpoint endpoint) {
+                                mControl.execute(() -> call.sendOn(new Link(address, endpoint)));
+                            }
 
-                    @Override
-                    public void failed(Exception e) {
-                        mControl.execute(() -> call.connectFailed("can't connect: " + e));
-                    }
+                            @Override
+                            public void failed(Exception e) {
+                                mControl.execute(() -> call.connectFailed("can't connect: " + e));
+                            }
 
-                    @Override
-                    public void cancelled() {
-                        mControl.execute(() -> call.connectFailed("connecting was cancelled"));
+                            @Override
+                            public void cancelled() {
+                                mControl.execute(
+                                        () -> call.connectFailed("connecting was cancelled"));
+                            }
+                        });
+        mControl.delay(
+                Duration.ofMillis(connectMillis),
+                () -> {
+                    if (!connecting.isDone()) {
+                        connecting.cancel(true);
+                        call.connectFailed("no connection in " + connectMillis + " ms");
                     }
                 });
     }
