Report usage and order roles under one lease in the store

Each VM writes its counts to the store once a second; the lease's holder seals a window by creating its object, then reports it. A role change is announced through the engine's status, which every VM watches anyway, before it is ordered, and its end likewise.

--- a/src/main/java/org/vanilladoor/authority/LeaseKeeper.java
+++ b/src/main/java/org/vanilladoor/authority/LeaseKeeper.java
@@ -6,6 +6,8 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.ExpiryClock;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.provider.ObjectStore;
@@ -19,11 +21,16 @@
 public final class LeaseKeeper {
     private static final Logger LOG = LogManager.getLogger(LeaseKeeper.class);
     private static final Duration PULSE = Duration.ofMillis(100);
+
+    /** Advance of the wall clock over the monotonic one that counts as a suspension. */
+    private static final long SUSPENSION_MILLIS = 100;
+
     private final ControlLoop mControl;
     private final ObjectStore mStore;
     private final String mObject;
     private final LeaseCore mCore;
     private boolean mHeldBefore;
+    private long mClockDriftMillis = clockDriftMillis();
 
     private LeaseKeeper(ControlLoop control, ObjectStore store, String object, LeaseCore core) {
         mControl = control;
@@ -45,8 +52,19 @@
         return keeper;
     }
 
+    /**
+     * Returns whether the lease is held now, by every clock of this VM.
+     *
+     * <p>To be asked right before each act under the lease.
+     */
+    public boolean isHeld() {
+        distrustAfterSuspension();
+        return mCore.isHeld(MonotonicClock.nowMillis());
+    }
+
     /** Takes the next step, if there is one. */
     public void pulse() {
+        distrustAfterSuspension();
         long now = MonotonicClock.nowMillis();
         logChange(now);
         LeaseStep step = mCore.next(now);
@@ -82,10 +100,26 @@
         }
     }
 
+    /** Gives the lease up if time has passed that the monotonic clock may not have counted. */
+    private void distrustAfterSuspension() {
+        long drift = clockDriftMillis();
+        if (drift - mClockDriftMillis > SUSPENSION_MILLIS) {
+            EventLog.write(
+                    "lease", "clock.jumped", "object", mObject, "by_ms", drift - mClockDriftMillis);
+            mCore.distrust();
+        }
+        mClockDriftMillis = drift;
+    }
+
+    private static long clockDriftMillis() {
+        return ExpiryClock.nowMillis() - MonotonicClock.nowMillis();
+    }
+
     private void logChange(long now) {
         boolean held = mCore.isHeld(now);
         if (held != mHeldBefore) {
-            LOG.info("lease: {} is {}, term {}.", mObject, held ? "held" : "lost", mCore.term());
+            EventLog.write(
+                    "lease", held ? "held" : "lost", "object", mObject, "term", mCore.term());
             mHeldBefore = held;
         }
     }
--- /dev/null
+++ b/src/main/java/org/vanilladoor/duty/Authority.java
@@ -0,0 +1,17 @@
+package org.vanilladoor.duty;
+
+import java.util.Objects;
+
+/**
+ * In whose name an act under the fleet's lease is done.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param holder name of the VM
+ * @param term term of the lease; grows with each taking
+ */
+public record Authority(String holder, long term) {
+    public Authority {
+        Objects.requireNonNull(holder, "holder");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -0,0 +1,137 @@
+package org.vanilladoor.duty;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.fleet.Endpoint;
+import org.vanilladoor.route.ServiceDefinition;
+
+/**
+ * Decides how many engines of a service read prompts for others, from the work that goes on.
+ *
+ * <p>Invariants: at least {@link #LEAST_RUNNERS} engines run requests, in as many failure domains
+ * as can be, before any is set to read; an engine keeps a role for {@link #DWELL_MILLIS}. Time and
+ * measurements go in, role changes come out; belongs to the control thread.
+ */
+public final class FleetPlan {
+    /** Engines that run requests whatever the work, so that one may be lost. */
+    private static final int LEAST_RUNNERS = 2;
+
+    /** Prompts being read at one reading engine, on average, above which another one helps. */
+    private static final double BUSY_READING = 0.25;
+
+    /** The same, below which a reading engine can be spared. */
+    private static final double IDLE_READING = 0.08;
+
+    /** Part of the slots in use above which another running engine is needed. */
+    private static final double BUSY_RUNNING = 0.5;
+
+    /** Part of the slots that may be in use after an engine has been taken from running. */
+    private static final double SPARE_RUNNING = 0.25;
+
+    /** Time for which an engine keeps a role, in milliseconds; a change takes it away for a few. */
+    private static final long DWELL_MILLIS = 20_000;
+
+    private final Map<String, Long> mChangedMillis = new HashMap<>();
+
+    private FleetPlan() {}
+
+    /** Returns a plan that has changed nothing. */
+    public static FleetPlan create() {
+        return new FleetPlan();
+    }
+
+    /**
+     * Returns the role changes to order now.
+     *
+     * @param service the service; without engines nothing is changed
+     * @param endpoints its endpoints
+     * @param work the work that goes on there
+     */
+    public List<RoleChange> decide(
+            ServiceDefinition service, List<Endpoint> endpoints, Work work, long nowMillis) {
+        if (service.engine().isEmpty()) {
+            return List.of();
+        }
+        List<Endpoint> usable = endpoints.stream().filter(each -> !each.leaving()).toList();
+        List<Endpoint> runners = withRole(usable, EngineRole.DECODE);
+        List<Endpoint> readers = withRole(usable, EngineRole.PREFILL);
+        int slots = service.engine().get().slots();
+        int wanted = wantedReaders(usable.size(), readers.size(), work, slots);
+        List<RoleChange> changes = new ArrayList<>();
+        List<Endpoint> left = new ArrayList<>(runners);
+        for (int missing = wanted - readers.size(); missing > 0; missing--) {
+            Optional<Endpoint> spare = mostCrowded(left, nowMillis);
+            spare.ifPresent(
+                    engine -> {
+                        left.remove(engine);
+                        changes.add(new RoleChange(engine, EngineRole.PREFILL));
+                    });
+        }
+        List<Endpoint> leftReaders = new ArrayList<>(readers);
+        for (int excess = readers.size() - wanted; excess > 0; excess--) {
+            mostCrowded(leftReaders, nowMillis)
+                    .ifPresent(
+                            engine -> {
+                                leftReaders.remove(engine);
+                                changes.add(new RoleChange(engine, EngineRole.DECODE));
+                            });
+        }
+        return changes;
+    }
+
+    /** Notes that a change was ordered. */
+    public void ordered(RoleChange change, long nowMillis) {
+        mChangedMillis.put(change.engine().name(), nowMillis);
+    }
+
+    private static int wantedReaders(int engines, int readers, Work work, int slots) {
+        double neededSlots = work.running() / Math.max(1, slots);
+        int runners = engines - readers;
+        if (runners < LEAST_RUNNERS || neededSlots > BUSY_RUNNING * runners) {
+            int runnersWanted =
+                    Math.max(LEAST_RUNNERS, (int) Math.ceil(neededSlots / BUSY_RUNNING));
+            return Math.max(0, Math.min(readers, engines - runnersWanted));
+        }
+        int runnersKept = Math.max(LEAST_RUNNERS, (int) Math.ceil(neededSlots / SPARE_RUNNING));
+        int mostReaders = Math.max(readers, engines - runnersKept);
+        if (work.reading() > BUSY_READING * readers) {
+            return Math.min(mostReaders, (int) Math.ceil(work.reading() / BUSY_READING));
+        }
+        boolean idle = work.reading() < IDLE_READING * readers && readers > 1;
+        return idle && neededSlots > SPARE_RUNNING * runners ? readers - 1 : readers;
+    }
+
+    /** Returns an engine of the failure domain that has most of them, if one may change. */
+    private Optional<Endpoint> mostCrowded(List<Endpoint> engines, long nowMillis) {
+        Map<String, Integer> perDomain = new HashMap<>();
+        engines.forEach(each -> perDomain.merge(each.failureDomain(), 1, Integer::sum));
+        return engines.stream()
+                .filter(each -> mayChange(each, nowMillis))
+                .max(
+                        Comparator.comparingInt(
+                                        (Endpoint each) -> perDomain.get(each.failureDomain()))
+                                .thenComparing(Endpoint::name));
+    }
+
+    private boolean mayChange(Endpoint engine, long nowMillis) {
+        Long changed = mChangedMillis.get(engine.name());
+        return changed == null || nowMillis - changed >= DWELL_MILLIS;
+    }
+
+    private static List<Endpoint> withRole(List<Endpoint> endpoints, EngineRole role) {
+        return endpoints.stream().filter(each -> each.role() == role).toList();
+    }
+
+    /**
+     * A role that an engine is to take.
+     *
+     * @param engine the engine
+     * @param role its next role
+     */
+    public record RoleChange(Endpoint engine, EngineRole role) {}
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -0,0 +1,151 @@
+package org.vanilladoor.duty;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.vanilladoor.common.RendezvousRanking;
+
+/**
+ * The reports of all processes as last listed, and which of the processes live.
+ *
+ * <p>A process lives if its report has changed lately by this VM's monotonic clock; no clocks are
+ * compared. Time and listings go in; belongs to the control thread.
+ */
+public final class MemberBoard {
+    /** Time without a new report after which a process counts as gone, in milliseconds. */
+    public static final long SILENT_MILLIS = 7_000;
+
+    /** Processes that stand by for the lease; enough for a failure domain and a VM to be lost. */
+    private static final int CANDIDATES = 4;
+
+    /** Time for which reports of gone processes are kept; their usage is still to be reported. */
+    private static final long KEPT_MILLIS = 60_000;
+
+    private final String mOwnObject;
+    private final Map<String, Entry> mEntries = new TreeMap<>();
+    private boolean mListed;
+
+    private MemberBoard(String ownObject) {
+        mOwnObject = ownObject;
+    }
+
+    /**
+     * Returns a board without reports.
+     *
+     * @param ownObject name of this process's report
+     */
+    public static MemberBoard create(String ownObject) {
+        return new MemberBoard(ownObject);
+    }
+
+    /** Takes in all reports. */
+    public void list(Collection<Listed> listed, long nowMillis) {
+        Map<String, Listed> byName = new HashMap<>();
+        listed.forEach(each -> byName.put(each.object(), each));
+        mEntries.keySet().retainAll(byName.keySet());
+        byName.values().forEach(each -> take(each, nowMillis));
+        mListed = true;
+    }
+
+    private void take(Listed listed, long nowMillis) {
+        Entry before = mEntries.get(listed.object());
+        if (before == null || before.listed().version() < listed.version()) {
+            mEntries.put(listed.object(), new Entry(listed, nowMillis));
+        }
+    }
+
+    /** Returns how many processes live, this one among them. */
+    public int living(long nowMillis) {
+        return Math.max(1, livingNames(nowMillis).size());
+    }
+
+    /** Returns whether this process is one of those that stand by for the lease. */
+    public boolean isCandidate(long nowMillis) {
+        if (!mListed) {
+            return true;
+        }
+        TreeSet<String> names = new TreeSet<>(livingNames(nowMillis));
+        names.add(mOwnObject);
+        return RendezvousRanking.rank("fleet", names).stream()
+                .limit(CANDIDATES)
+                .anyMatch(mOwnObject::equals);
+    }
+
+    /** Returns the work of all living processes, by service. */
+    public Map<String, Work> work(long nowMillis) {
+        Map<String, Work> sums = new HashMap<>();
+        mEntries.values().stream()
+                .filter(entry -> entry.isLiving(nowMillis))
+                .forEach(
+                        entry ->
+                                entry.listed()
+                                        .report()
+                                        .work()
+                                        .forEach(
+                                                (service, work) ->
+                                                        sums.merge(service, work, Work::plus)));
+        return sums;
+    }
+
+    /** Returns the requests of a window by team, of all processes that are or were. */
+    public Map<String, Long> usage(long window) {
+        Map<String, Long> sums = new TreeMap<>();
+        mEntries.values()
+                .forEach(
+                        entry ->
+                                entry.listed()
+                                        .report()
+                                        .usage()
+                                        .getOrDefault(window, Map.of())
+                                        .forEach(
+                                                (team, count) ->
+                                                        sums.merge(team, count, Long::sum)));
+        return sums;
+    }
+
+    /** Returns whether the counts of all living processes go beyond a wall time. */
+    public boolean isComplete(long wallMillis, long nowMillis) {
+        return mEntries.values().stream()
+                .filter(entry -> entry.isLiving(nowMillis))
+                .allMatch(entry -> entry.listed().report().wallMillis() >= wallMillis);
+    }
+
+    /** Returns the objects of processes that have been gone for long. */
+    public List<String> obsolete(long nowMillis) {
+        List<String> obsolete = new ArrayList<>();
+        mEntries.forEach(
+                (object, entry) -> {
+                    if (nowMillis - entry.changedMillis() > KEPT_MILLIS) {
+                        obsolete.add(object);
+                    }
+                });
+        return obsolete;
+    }
+
+    private List<String> livingNames(long nowMillis) {
+        return mEntries.entrySet().stream()
+                .filter(entry -> entry.getValue().isLiving(nowMillis))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /**
+     * A report in the store.
+     *
+     * @param object name of its object
+     * @param version version of the object
+     * @param report what it says
+     */
+    public record Listed(String object, long version, MemberReport report) {}
+
+    /** A report with the time at which its version was first seen. */
+    private record Entry(Listed listed, long changedMillis) {
+        boolean isLiving(long nowMillis) {
+            return nowMillis - changedMillis < SILENT_MILLIS;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/vanilladoor/duty/UsageDuty.java
@@ -0,0 +1,144 @@
+package org.vanilladoor.duty;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.provider.ObjectStore;
+import org.vanilladoor.provider.StoredObject;
+import org.vanilladoor.provider.VersionConflictException;
+
+/**
+ * Reports the usage of each window, under the fleet's lease.
+ *
+ * <p>Invariants: a window's figures are those of its object, which is created once and never
+ * changed, so whoever reports gives the same figures; nothing is reported before its object is
+ * there. Belongs to the control thread.
+ */
+final class UsageDuty {
+    /** Time after a window's end at which the counts of all processes should be in the store. */
+    private static final long SETTLE_MILLIS = 1_700;
+
+    /** Time after a window's end at which it is sealed, whoever has not said all. */
+    private static final long LATEST_MILLIS = 6_000;
+
+    /** Windows that are looked back to, as far as processes keep their counts. */
+    private static final int LOOK_BACK = 7;
+
+    private static final String KIND = "usage/";
+    private final ObjectStore mStore;
+    private final FleetOrders mOrders;
+    private final MemberBoard mBoard;
+    private final UsageLedger mLedger;
+    private final WallTime mWallTime;
+    private final Set<Long> mReported = new HashSet<>();
+    private boolean mBusy;
+
+    UsageDuty(
+            ObjectStore store,
+            FleetOrders orders,
+            MemberBoard board,
+            UsageLedger ledger,
+            WallTime wallTime) {
+        mStore = store;
+        mOrders = orders;
+        mBoard = board;
+        mLedger = ledger;
+        mWallTime = wallTime;
+    }
+
+    /** Reports the oldest window that is due, if one is. */
+    void pulse(LeaseHold lease) {
+        if (mBusy) {
+            return;
+        }
+        long wall = mWallTime.nowMillis();
+        long current = mLedger.windowAt(wall);
+        mReported.removeIf(window -> window < current - 2L * LOOK_BACK);
+        for (long window = current - LOOK_BACK; window < current; window++) {
+            if (!mReported.contains(window) && isDue(window, wall)) {
+                Map<String, Long> counts = mBoard.usage(window);
+                if (!counts.isEmpty()) {
+                    seal(window, counts, lease);
+                    return;
+                }
+            }
+        }
+    }
+
+    private boolean isDue(long window, long wallMillis) {
+        long end = mLedger.endMillis(window);
+        boolean complete = mBoard.isComplete(end, MonotonicClock.nowMillis());
+        return wallMillis >= end + LATEST_MILLIS || (wallMillis >= end + SETTLE_MILLIS && complete);
+    }
+
+    private void seal(long window, Map<String, Long> counts, LeaseHold lease) {
+        mBusy = true;
+        String object = KIND + window;
+        mStore.write(object, ObjectStore.ABSENT, Json.write(counts))
+                .handle(
+                        (version, failure) ->
+                                failure == null
+                                        ? CompletableFuture.completedFuture(counts)
+                                        : figuresOf(object, failure))
+                .thenCompose(future -> future)
+                .thenCompose(figures -> report(window, figures, lease))
+                .whenComplete(
+                        (done, failure) -> {
+                            mBusy = false;
+                            if (failure != null) {
+                                EventLog.write(
+                                        "usage",
+                                        "window.unreported",
+                                        "window",
+                                        window,
+                                        "reason",
+                                        failure.getMessage());
+                            }
+                        });
+    }
+
+    /** Returns the figures that somebody has sealed, if the write failed for that. */
+    private CompletableFuture<Map<String, Long>> figuresOf(String object, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (!(cause instanceof VersionConflictException)) {
+            return CompletableFuture.failedFuture(cause);
+        }
+        return mStore.read(object)
+                .thenApply(
+                        found ->
+                                found.map(StoredObject::content)
+                                        .map(UsageDuty::figures)
+                                        .orElseThrow(() -> new VersionConflictException(object)));
+    }
+
+    private static Map<String, Long> figures(byte[] content) {
+        return new TreeMap<>(Json.read(content, new TypeReference<Map<String, Long>>() {}));
+    }
+
+    private CompletableFuture<Void> report(long window, Map<String, Long> counts, LeaseHold lease) {
+        if (!lease.isHeld()) {
+            return CompletableFuture.failedFuture(new IllegalStateException("the lease is lost"));
+        }
+        return mOrders.report(window, counts, lease.authority())
+                .thenAccept(
+                        done -> {
+                            mReported.add(window);
+                            EventLog.write(
+                                    "usage",
+                                    "window.reported",
+                                    "window",
+                                    window,
+                                    "teams",
+                                    counts.size(),
+                                    "term",
+                                    lease.authority().term());
+                        });
+    }
+}
--- a/src/main/java/org/vanilladoor/fleet/Endpoint.java
+++ b/src/main/java/org/vanilladoor/fleet/Endpoint.java
@@ -15,7 +15,9 @@
  * @param failureDomain where it runs
  * @param slots requests that it serves at the same time
  * @param leaving whether it takes no new work
- * @param role role of an engine; {@link EngineRole#MIXED} for a plain service
+ * @param role role of an engine, its next one while it changes; {@link EngineRole#MIXED} for a
+ *     plain service
+ * @param changing whether the engine changes its role and takes no work meanwhile
  * @param reclaimable whether the platform may take it back at short notice
  * @param bornMillis wall time of its start, which tells a restarted endpoint from its forerunner
  */
@@ -27,6 +29,7 @@
         int slots,
         boolean leaving,
         EngineRole role,
+        boolean changing,
         boolean reclaimable,
         long bornMillis) {
     public Endpoint {
@@ -36,4 +39,9 @@
         Objects.requireNonNull(failureDomain, "failureDomain");
         Objects.requireNonNull(role, "role");
     }
+
+    /** Returns whether it takes new work. */
+    public boolean isUsable() {
+        return !leaving && !changing;
+    }
 }
--- a/src/main/java/org/vanilladoor/fleet/Placement.java
+++ b/src/main/java/org/vanilladoor/fleet/Placement.java
@@ -15,8 +15,8 @@
  *
  * <p>Requests with the same shared start are read by the same engine from every VM without asking,
  * as long as it has room; whole requests go to the least loaded endpoint, near ones first.
- * Invariant: a leaving endpoint is never chosen. Time goes in, no socket is touched; belongs to the
- * control thread.
+ * Invariant: an endpoint that leaves or changes its role is never chosen. Time goes in, no socket
+ * is touched; belongs to the control thread.
  */
 public final class Placement {
     /** How long an endpoint that can't be reached is passed over, in milliseconds. */
@@ -167,7 +167,7 @@
 
     private List<Endpoint> candidates(String service, Set<EngineRole> roles, Set<String> excluded) {
         return mDirectory.of(service).stream()
-                .filter(endpoint -> !endpoint.leaving())
+                .filter(Endpoint::isUsable)
                 .filter(endpoint -> roles.contains(endpoint.role()))
                 .filter(endpoint -> !excluded.contains(endpoint.name()))
                 .toList();
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -38,6 +38,7 @@
             Listener listener) {
         EndpointExchange exchange = new EndpointExchange(context, request, call, listener);
         context.placement().started(call.endpoint());
+        exchange.noteRunning(1);
         exchange.mOutgoing =
                 context.links()
                         .send(
@@ -129,9 +130,16 @@
         }
         mEnded = true;
         mContext.placement().ended(mCall.endpoint());
+        noteRunning(-1);
         return true;
     }
 
+    private void noteRunning(int change) {
+        if (mCall.stage() == EndpointCall.Stage.RUN) {
+            mContext.work().running(mCall.endpoint().service(), change);
+        }
+    }
+
     /** Hears of a call, until its end or failure. */
     interface Listener {
         /** The head of the answer has come, and it is the answer to this call. */
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -74,7 +74,7 @@
                         accounts.retries(),
                         WaitingLines.create(),
                         accounts.usage(),
-                        accounts.demand(),
+                        accounts.work(),
                         accounts.metrics(),
                         random);
         Gateway gateway = new Gateway(context);
@@ -170,9 +170,9 @@
      *
      * @param retries bounds repeats
      * @param usage counts requests that began to run
-     * @param demand counts the work that comes in
+     * @param work hears of the work at endpoints
      * @param metrics counters and latencies
      */
     public record Accounts(
-            RetryShares retries, UsageSink usage, DemandSink demand, GatewayMetrics metrics) {}
+            RetryShares retries, UsageSink usage, WorkSink work, GatewayMetrics metrics) {}
 }
--- a/src/main/java/org/vanilladoor/gateway/GatewayContext.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayContext.java
@@ -19,7 +19,7 @@
  * @param retries bounds repeats
  * @param lines requests that wait
  * @param usage counts requests that began to run
- * @param demand counts the work that comes in
+ * @param work hears of the work at endpoints
  * @param metrics counters and latencies
  * @param random draws services by weight
  */
@@ -32,7 +32,7 @@
         RetryShares retries,
         WaitingLines lines,
         UsageSink usage,
-        DemandSink demand,
+        WorkSink work,
         GatewayMetrics metrics,
         RandomGenerator random) {
     GatewayContext {
--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -63,6 +63,7 @@
     private int mRan;
     private boolean mRepeatPaid;
     private boolean mMayHaveRun;
+    private boolean mReading;
     private boolean mReadDirectly;
     private boolean mStreaming;
     private boolean mDone;
@@ -104,11 +105,6 @@
         mOnEnd = onEnd;
         long now = MonotonicClock.nowMillis();
         mContext.retries().of(mService).firstTry(now);
-        mContext.demand()
-                .arrived(
-                        mService,
-                        mRequest.prompt().map(Prompt::promptTokens).orElse(0L),
-                        mRequest.prompt().map(Prompt::outputTokens).orElse(0L));
         mExchange.onGone(this::callerLeft);
         mContext.control()
                 .delay(Duration.ofMillis(Math.max(0, mDeadlineMillis - now)), this::timeOut);
@@ -120,12 +116,19 @@
         if (mDone) {
             return;
         }
-        if (isReadApart()) {
-            if (!readPrompt()) {
-                waitForRoom();
-            }
-        } else {
+        boolean apart = isReadApart();
+        noteReading(apart);
+        if (!apart) {
             run();
+        } else if (!readPrompt()) {
+            waitForRoom();
+        }
+    }
+
+    private void noteReading(boolean reading) {
+        if (reading != mReading) {
+            mReading = reading;
+            mContext.work().reading(mService, reading ? 1 : -1);
         }
     }
 
@@ -160,7 +163,8 @@
             return false;
         }
         mWaiting = null;
-        if (mCall == null) {
+        if (mCall == null && !mDone) {
+            noteReading(false);
             run();
         }
         return true;
@@ -340,6 +344,7 @@
 
     private void finish(String outcome, String reason) {
         mDone = true;
+        noteReading(false);
         if (mWaiting != null) {
             mContext.lines().of(mService).remove(mWaiting);
             mWaiting = null;
--- a/src/main/java/org/vanilladoor/platform/EndpointFeed.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointFeed.java
@@ -57,6 +57,8 @@
                     endpoint.get().service(),
                     "role",
                     endpoint.get().role(),
+                    "changing",
+                    endpoint.get().changing(),
                     "leaving",
                     endpoint.get().leaving());
         }
@@ -86,7 +88,8 @@
     private static Optional<Endpoint> decode(JsonNode object) {
         String name = ObjectClient.nameOf(object);
         try {
-            return Optional.of(EndpointDecoder.decode(name, object.path("spec")));
+            return Optional.of(
+                    EndpointDecoder.decode(name, object.path("spec"), object.path("status")));
         } catch (IllegalArgumentException e) {
             EventLog.write("endpoints", "unreadable", "entry", name, "reason", e.getMessage());
             return Optional.empty();
--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -3,29 +3,19 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.ByteArrayOutputStream;
-import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.duty.StoredReports;
 import org.vanilladoor.provider.ObjectStore;
-import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.VersionConflictException;
-import org.vanilladoor.transport.CallFailure;
-import org.vanilladoor.transport.Links;
-import org.vanilladoor.transport.OutgoingCall;
-import org.vanilladoor.transport.OutgoingListener;
 
 /**
  * The one client of the platform's object store.
@@ -35,7 +25,7 @@
  * unavailable and its connection is closed, since nothing further comes on it. Calls may be made by
  * any thread; futures complete on the control thread.
  */
-final class ObjectClient implements ObjectStore {
+final class ObjectClient implements ObjectStore, StoredReports {
     private static final String PATH = "/api/objects/";
 
     /** Keeps the product's kinds apart from those of the platform. */
@@ -44,19 +34,16 @@
     /** Longest time for an answer; the store answers in a few milliseconds when it is well. */
     private static final long ANSWER_MILLIS = 900;
 
-    private static final long CONNECT_MILLIS = 500;
-    private final ControlLoop mControl;
-    private final Links mLinks;
+    private final PlatformCalls mCalls;
     private final HostPort mAddress;
 
-    private ObjectClient(ControlLoop control, Links links, HostPort address) {
-        mControl = control;
-        mLinks = links;
+    private ObjectClient(PlatformCalls calls, HostPort address) {
+        mCalls = calls;
         mAddress = address;
     }
 
-    static ObjectClient create(ControlLoop control, Links links, HostPort address) {
-        return new ObjectClient(control, links, address);
+    static ObjectClient create(PlatformCalls calls, HostPort address) {
+        return new ObjectClient(calls, address);
     }
 
     @Override
@@ -101,7 +88,7 @@
 
     @Override
     public CompletableFuture<List<String>> list(String prefix) {
-        return objects(prefix + "/x", false)
+        return list(prefix + "/", false)
                 .thenApply(objects -> objects.stream().map(StoredObject::name).toList());
     }
 
@@ -117,12 +104,8 @@
                         });
     }
 
-    /**
-     * Returns all objects of the product's kind that a name belongs to.
-     *
-     * @param mayBeStale whether an answer of some seconds ago will do, which costs a tenth
-     */
-    CompletableFuture<List<StoredObject>> objects(String anyName, boolean mayBeStale) {
+    @Override
+    public CompletableFuture<List<StoredObject>> list(String anyName, boolean mayBeStale) {
         String kind = kind(anyName);
         String prefix = anyName.substring(0, anyName.indexOf('/') + 1);
         return list(kind, mayBeStale ? "serializable=1" : "", "", new ArrayList<>())
@@ -158,6 +141,16 @@
                         });
     }
 
+    /** Writes the status of an object of the platform, whatever its version. */
+    CompletableFuture<Void> writeStatus(String kind, String name, JsonNode status) {
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        body.putObject("meta").put("name", name);
+        body.set("status", status);
+        String path = PATH + kind + "/" + name + "/status";
+        return call("PUT", path, Optional.of(body), ANSWER_MILLIS)
+                .thenAccept(PlatformCalls.Reply::good);
+    }
+
     static String nameOf(JsonNode object) {
         return object.path("meta").path("name").asText();
     }
@@ -179,34 +172,9 @@
                         });
     }
 
-    private CompletableFuture<Reply> call(
-            String method, String path, Optional<JsonNode> body, long answerMillis) {
-        CompletableFuture<Reply> result = new CompletableFuture<>();
-        HttpRequest request = new BasicHttpRequest(method, path);
-        request.addHeader(HttpHeaders.HOST, mAddress.toString());
-        body.ifPresent(present -> request.addHeader(HttpHeaders.CONTENT_TYPE, "application/json"));
-        byte[] bytes = body.map(Json::write).orElse(new byte[0]);
-        mControl.execute(
-                () -> {
-                    OutgoingCall call =
-                            mLinks.send(
-                                    mAddress,
-                                    CONNECT_MILLIS,
-                                    request,
-                                    bytes,
-                                    new Collector(method + " " + path, result));
-                    mControl.delay(
-                            Duration.ofMillis(answerMillis),
-                            () -> {
-                                if (!result.isDone()) {
-                                    call.abandon();
-                                    result.completeExceptionally(
-                                            new StoreUnavailableException(
-                                                    "no answer to " + method + " " + path));
-                                }
-                            });
-                });
-        return result;
+    private CompletableFuture<PlatformCalls.Reply> call(
+            String method, String path, Optional<Object> body, long answerMillis) {
+        return mCalls.send(mAddress, new BasicHttpRequest(method, path), body, answerMillis);
     }
 
     private static StoredObject object(String name, JsonNode object) {
@@ -246,57 +214,4 @@
      * @param revision revision up to which they go
      */
     record Changes(boolean forgotten, List<JsonNode> events, long revision) {}
-
-    /** An answer of the store. */
-    private record Reply(String call, int status, JsonNode body) {
-        JsonNode good() {
-            if (status >= HttpStatus.SC_REDIRECTION) {
-                throw new StoreUnavailableException(call + " was answered with " + status);
-            }
-            return body;
-        }
-    }
-
-    /** Collects an answer; belongs to the control thread. */
-    private static final class Collector implements OutgoingListener {
-        private final String mCall;
-        private final CompletableFuture<Reply> mResult;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
-        private int mStatus;
-
-        Collector(String call, CompletableFuture<Reply> result) {
-            mCall = call;
-            mResult = result;
-        }
-
-        @Override
-        public void head(HttpResponse head) {
-            mStatus = head.getCode();
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            mBody.writeBytes(bytes);
-        }
-
-        @Override
-        public void ended() {
-            try {
-                JsonNode body =
-                        mBody.size() == 0
-                                ? JsonNodeFactory.instance.objectNode()
-                                : Json.read(mBody.toByteArray(), JsonNode.class);
-                mResult.complete(new Reply(mCall, mStatus, body));
-            } catch (UncheckedIOException e) {
-                mResult.completeExceptionally(
-                        new StoreUnavailableException(mCall + ": the answer is not JSON", e));
-            }
-        }
-
-        @Override
-        public void failed(CallFailure failure) {
-            mResult.completeExceptionally(
-                    new StoreUnavailableException(mCall + ": " + failure.reason()));
-        }
-    }
 }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -10,6 +10,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.duty.Duties;
 import org.vanilladoor.fleet.EndpointDirectory;
 import org.vanilladoor.fleet.Placement;
 import org.vanilladoor.gateway.Gateway;
@@ -67,7 +68,19 @@
         EndpointDirectory directory = EndpointDirectory.create();
         Placement placement = Placement.create(directory, settings.failureDomain(), random);
         MetricRegistry registry = new MetricRegistry();
-        ObjectClient store = ObjectClient.create(mControl, mLinks, settings.store());
+        PlatformCalls calls = PlatformCalls.create(mControl, mLinks);
+        ObjectClient store = ObjectClient.create(calls, settings.store());
+        Duties duties =
+                Duties.start(
+                        mControl,
+                        new Duties.Surroundings(
+                                store,
+                                store,
+                                FleetClient.create(calls, store, settings.cloud()),
+                                directory,
+                                mState),
+                        settings.machine(),
+                        settings.usageWindowMillis());
         mGateway =
                 Gateway.start(
                         mControl,
@@ -80,8 +93,8 @@
                                         settings.retryRatio(),
                                         settings.retryExtra(),
                                         settings.retryWindowMillis()),
-                                team -> {},
-                                (service, prompt, output) -> {},
+                                duties,
+                                duties,
                                 GatewayMetrics.create(registry)),
                         random);
         StoreFeed.start(
