Size the fleet with cheap reclaimable endpoints, and never end a cut answer

Cause: eight engines read 120 long prompts a second with cold caches; bursts left most late. The holder of the lease now orders reclaimable engines in place of steady ones above the operator's minimum, half as many again before any work is seen, then by the prompts being read at the peak; what is not needed to run requests reads prompts. Nothing is sent after an abort now.

--- a/src/main/java/org/vanilladoor/duty/Duties.java
+++ b/src/main/java/org/vanilladoor/duty/Duties.java
@@ -31,6 +31,7 @@
     private final LeaseHold mLease;
     private final UsageDuty mUsage;
     private final RoleDuty mRoles;
+    private final SizeDuty mSize;
     private final ObjectStore mStore;
     private final boolean mReportsUsage;
 
@@ -53,6 +54,7 @@
         mLease = new LeaseHold(machine, core, LeaseKeeper.start(control, mStore, LEASE, core));
         mUsage = new UsageDuty(mStore, around.orders(), mBoard, mLedger, mWallTime);
         mRoles = new RoleDuty(control, around.orders(), around.directory(), mBoard, around.state());
+        mSize = new SizeDuty(around.orders(), around.directory(), mBoard, around.state());
         control.repeat(PULSE, () -> pulse(around.state()));
     }
 
@@ -94,6 +96,7 @@
             mUsage.pulse(mLease);
         }
         mRoles.pulse(mLease);
+        mSize.pulse(mLease);
         forgetObsolete(now);
     }
 
--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -21,17 +21,19 @@
     /** Engines that run requests whatever the work, so that one may be lost. */
     private static final int LEAST_RUNNERS = 2;
 
-    /** Prompts being read at one reading engine, on average, above which another one helps. */
-    private static final double BUSY_READING = 0.25;
+    /** Prompts being read, on average, from which on engines that nobody needs else read. */
+    private static final double LEAST_READING = 0.05;
 
-    /** The same, below which a reading engine can be spared. */
-    private static final double IDLE_READING = 0.08;
+    /** Part of the engines that read before any work has been seen; prompts are long these days. */
+    private static final double FIRST_READERS = 0.6;
+
+    private static final int LEAST_ENGINES_TO_PREPARE = 4;
 
     /** Part of the slots in use above which another running engine is needed. */
-    private static final double BUSY_RUNNING = 0.5;
+    private static final double BUSY_RUNNING = 0.8;
 
-    /** Part of the slots that may be in use after an engine has been taken from running. */
-    private static final double SPARE_RUNNING = 0.25;
+    /** Part of the slots that is in use after a change, so that the next one is not near. */
+    private static final double SPARE_RUNNING = 0.55;
 
     /** Time for which an engine keeps a role, in milliseconds; a change takes it away for a few. */
     private static final long DWELL_MILLIS = 20_000;
@@ -93,17 +95,17 @@
         double neededSlots = work.running() / Math.max(1, slots);
         int runners = engines - readers;
         if (runners < LEAST_RUNNERS || neededSlots > BUSY_RUNNING * runners) {
-            int runnersWanted =
-                    Math.max(LEAST_RUNNERS, (int) Math.ceil(neededSlots / BUSY_RUNNING));
-            return Math.max(0, Math.min(readers, engines - runnersWanted));
+            return Math.min(readers, engines - runnersFor(neededSlots));
         }
-        int runnersKept = Math.max(LEAST_RUNNERS, (int) Math.ceil(neededSlots / SPARE_RUNNING));
-        int mostReaders = Math.max(readers, engines - runnersKept);
-        if (work.reading() > BUSY_READING * readers) {
-            return Math.min(mostReaders, (int) Math.ceil(work.reading() / BUSY_READING));
+        if (work.equals(Work.NONE) && engines >= LEAST_ENGINES_TO_PREPARE) {
+            return Math.max(readers, (int) (engines * FIRST_READERS));
         }
-        boolean idle = work.reading() < IDLE_READING * readers && readers > 1;
-        return idle && neededSlots > SPARE_RUNNING * runners ? readers - 1 : readers;
+        boolean asked = work.reading() > LEAST_READING;
+        return asked ? Math.max(readers, engines - runnersFor(neededSlots)) : readers;
+    }
+
+    private static int runnersFor(double neededSlots) {
+        return Math.max(LEAST_RUNNERS, (int) Math.ceil(neededSlots / SPARE_RUNNING));
     }
 
     /** Returns an engine of the failure domain that has most of them, if one may change. */
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -143,7 +143,10 @@
     /** Closes the connection, so that an unfinished answer can't look complete. */
     public void abort() {
         synchronized (this) {
-            mEnded = true;
+            // Nothing more may be sent, least of all the mark of a complete answer.
+            mGone = true;
+            mUnsent.clear();
+            mUnsentBytes = 0;
         }
         mConnection.close(CloseMode.IMMEDIATE);
     }
@@ -191,7 +194,8 @@
     @Override
     public int available() {
         synchronized (this) {
-            return mUnsentBytes > 0 || (mEnded && !mEndSent) ? Math.max(1, mUnsentBytes) : 0;
+            boolean endIsDue = mEnded && !mEndSent && !mGone;
+            return mUnsentBytes > 0 || endIsDue ? Math.max(1, mUnsentBytes) : 0;
         }
     }
 
@@ -199,6 +203,9 @@
     public void produce(DataStreamChannel channel) throws IOException {
         synchronized (this) {
             mOutput = channel;
+            if (mGone) {
+                return;
+            }
             while (!mUnsent.isEmpty()) {
                 ByteBuffer next = mUnsent.peek();
                 int written = channel.write(next);
