--- a/src/main/java/org/vanilladoor/gateway/EventAssembler.java
+++ b/src/main/java/org/vanilladoor/gateway/EventAssembler.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -31,11 +32,16 @@
         }
         mPartial.reset();
         mPartial.write(all, end, all.length - end);
-        byte[] whole = java.util.Arrays.copyOf(all, end);
+        byte[] whole = Arrays.copyOf(all, end);
         noteIdentifiers(whole);
         return whole;
     }
 
+    /** Forgets the part of an event that its endpoint did not end. */
+    void dropPartial() {
+        mPartial.reset();
+    }
+
     /** Returns whether the bytes so far end with a whole event. */
     boolean endsWithWholeEvent() {
         return mPartial.size() == 0;
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -101,6 +101,10 @@
             refuse(exchange, Refusal.MALFORMED, "-", e.getMessage());
             return;
         }
+        if (mContext.state().isClosing()) {
+            refuse(exchange, Refusal.STOPPING, request.identifier(), "the process is to end");
+            return;
+        }
         Optional<ServingConfiguration> configuration = mContext.state().configuration();
         if (configuration.isEmpty()) {
             refuse(exchange, Refusal.NOT_CONFIRMED, request.identifier(), "no configuration yet");
--- a/src/main/java/org/vanilladoor/gateway/Refusal.java
+++ b/src/main/java/org/vanilladoor/gateway/Refusal.java
@@ -19,6 +19,8 @@
     UNKNOWN_ROUTE(HttpStatus.SC_NOT_FOUND, false),
     /** No configuration is known, or not whether it is still the newest. */
     NOT_CONFIRMED(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
+    /** The process is about to end. */
+    STOPPING(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** No endpoint serves it now. */
     NO_ENDPOINT(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** It can't be answered in time. */
--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -220,6 +220,7 @@
         mArrivals++;
         mRepeatPaid = false;
         mBody = new ByteArrayOutputStream();
+        mEvents.dropPartial();
         send(runner.get(), EndpointCall.Stage.RUN);
     }
 
--- a/src/main/java/org/vanilladoor/gateway/ServingState.java
+++ b/src/main/java/org/vanilladoor/gateway/ServingState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.vanilladoor.common.ExpiryClock;
+import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.route.ServingConfiguration;
 
 /**
@@ -12,10 +13,17 @@
  * queries, which any thread may ask.
  */
 public final class ServingState {
+    /**
+     * Time after a stop in which requests are still taken, in milliseconds: the balancer asks once
+     * a second and takes a VM out after two misses.
+     */
+    public static final long LEAVING_MILLIS = 2_500;
+
     private volatile ServingConfiguration mConfiguration;
     private volatile long mConfirmedMillis;
     private volatile boolean mEndpointsKnown;
     private volatile boolean mStopping;
+    private volatile long mStoppedMillis;
     private volatile int mMachines = 1;
 
     private ServingState() {}
@@ -54,6 +62,7 @@
 
     /** Notes that the process is to stop. */
     public void stop() {
+        mStoppedMillis = MonotonicClock.nowMillis();
         mStopping = true;
     }
 
@@ -82,6 +91,11 @@
         return mStopping;
     }
 
+    /** Returns whether the process is to stop and callers have had time to go elsewhere. */
+    public boolean isClosing() {
+        return mStopping && MonotonicClock.nowMillis() - mStoppedMillis > LEAVING_MILLIS;
+    }
+
     /** Returns how many VMs may be serving. */
     public int machines() {
         return mMachines;
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -44,13 +44,14 @@
     /** Largest body before a configuration says otherwise. */
     private static final int DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 
-    /** Time after a stop in which callers may still connect; two missed questions take it out. */
-    private static final long LEAVE_ROTATION_MILLIS = 2_600;
+    /** Time in which callers who still sent a request are told to go elsewhere. */
+    private static final long TELL_MILLIS = 300;
 
     /** Time left before the platform kills the process, in milliseconds. */
     private static final long STOP_MARGIN_MILLIS = 500;
 
     private static final long STOP_CHECK_MILLIS = 50;
+    private static final int BROKEN_EXIT_CODE = 3;
     private final PlatformSettings mSettings;
     private final ControlLoop mControl;
     private final Links mLinks;
@@ -111,9 +112,9 @@
                 ENDPOINT_WAIT_MILLIS,
                 random,
                 EndpointFeed.create(directory, mState));
-        mControl.repeat(TIDY, () -> tidy(directory, placement));
         mCallers = listen(settings.callerAddress(), mGateway::arrived);
         mReadiness = listen(settings.readinessAddress(), this::answerReadiness);
+        mControl.repeat(TIDY, () -> tidy(directory, placement));
     }
 
     /**
@@ -158,7 +159,7 @@
 
     private boolean mayGoOn(long startedMillis, long killedMillis) {
         long now = MonotonicClock.nowMillis();
-        boolean leaving = now < startedMillis + LEAVE_ROTATION_MILLIS;
+        boolean leaving = now < startedMillis + ServingState.LEAVING_MILLIS + TELL_MILLIS;
         return now < killedMillis && (leaving || mGateway.openRequests() > 0);
     }
 
@@ -185,5 +186,11 @@
         directory.forgetMissing(MonotonicClock.nowMillis());
         placement.forgetGone();
         mLinks.closeIdle();
+        boolean broken = !mState.isStopping() && !(mCallers.isRunning() && mLinks.isRunning());
+        if (broken) {
+            // A process that can't serve makes room for one that can.
+            EventLog.write("process", "broken", "callers", mCallers.isRunning());
+            Runtime.getRuntime().halt(BROKEN_EXIT_CODE);
+        }
     }
 }
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -3,18 +3,19 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
-import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -39,9 +40,12 @@
     /** Bytes that wait for a caller who does not read; the answer of a model is far smaller. */
     private static final int MAXIMUM_UNSENT_BYTES = 4 * 1024 * 1024;
 
+    private static final String MALFORMED =
+            "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
     private static final Logger LOG = LogManager.getLogger(FrontExchange.class);
     private final ControlLoop mControl;
-    private final HttpConnection mConnection;
+    private final WatchedSession mSession;
     private final int mMaximumBodyBytes;
     private final Consumer<FrontExchange> mArrived;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
@@ -60,11 +64,11 @@
 
     FrontExchange(
             ControlLoop control,
-            HttpConnection connection,
+            WatchedSession session,
             int maximumBodyBytes,
             Consumer<FrontExchange> arrived) {
         mControl = control;
-        mConnection = connection;
+        mSession = session;
         mMaximumBodyBytes = maximumBodyBytes;
         mArrived = arrived;
     }
@@ -148,7 +152,7 @@
             mUnsent.clear();
             mUnsentBytes = 0;
         }
-        mConnection.close(CloseMode.IMMEDIATE);
+        mSession.close(CloseMode.GRACEFUL);
     }
 
     @Override
@@ -158,6 +162,7 @@
             ResponseChannel responses,
             HttpContext context)
             throws HttpException, IOException {
+        mSession.onEnd(this::callerClosed);
         mRequest = request;
         mResponses = responses;
         mContext = context;
@@ -224,14 +229,38 @@
 
     @Override
     public void failed(Exception cause) {
+        if (cause instanceof MalformedChunkCodingException) {
+            sendMalformed();
+        }
         gone();
     }
 
+    /** HttpCore closes after a broken chunk; the caller is told why while it still can be. */
+    private void sendMalformed() {
+        synchronized (this) {
+            if (mAnswered || mGone) {
+                return;
+            }
+            mAnswered = true;
+        }
+        try {
+            mSession.write(ByteBuffer.wrap(MALFORMED.getBytes(StandardCharsets.US_ASCII)));
+        } catch (IOException e) {
+            LOG.debug("front: A caller was gone before it could be told: {}.", e.getMessage());
+        }
+    }
+
     @Override
     public void releaseResources() {
         gone();
     }
 
+    /** The caller waits no more, though HttpCore would still send it the answer. */
+    private void callerClosed() {
+        gone();
+        mSession.close(CloseMode.GRACEFUL);
+    }
+
     private void gone() {
         Runnable action;
         synchronized (this) {
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.http.protocol.ResponseContent;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
@@ -64,6 +65,7 @@
             Consumer<FrontExchange> arrived)
             throws IOException {
         ConnectionOfRequest current = new ConnectionOfRequest();
+        CallerSessions sessions = new CallerSessions();
         HttpAsyncServer server =
                 AsyncServerBootstrap.bootstrap()
                         .setIOReactorConfig(reactor())
@@ -75,14 +77,16 @@
                         .setHttpProcessor(
                                 HttpProcessorBuilder.create().add(new ResponseContent()).build())
                         .setStreamListener(current)
+                        .setIOSessionDecorator(sessions::watch)
+                        .setIOSessionListener(sessions)
                         .setExceptionCallback(
-                                e -> LOG.debug("front: A connection failed: {}.", e.toString()))
+                                e -> LOG.warn("front: A connection failed: {}.", e.toString()))
                         .setRequestRouter(
                                 (request, context) ->
                                         () ->
                                                 new FrontExchange(
                                                         control,
-                                                        current.mConnection,
+                                                        sessions.of(current.mConnection),
                                                         bodyBytes.getAsInt(),
                                                         arrived))
                         .create();
@@ -95,6 +99,11 @@
         return mAddress;
     }
 
+    /** Returns whether it still takes requests. */
+    public boolean isRunning() {
+        return mServer.getStatus() == IOReactorStatus.ACTIVE;
+    }
+
     /** Closes all connections. */
     @Override
     public void close() {
--- a/src/main/java/org/vanilladoor/transport/Links.java
+++ b/src/main/java/org/vanilladoor/transport/Links.java
@@ -17,6 +17,7 @@
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -119,6 +120,11 @@
         mIdle.values().removeIf(Deque::isEmpty);
     }
 
+    /** Returns whether it still connects. */
+    public boolean isRunning() {
+        return mRequester.getStatus() == IOReactorStatus.ACTIVE;
+    }
+
     @Override
     public void close() {
         mRequester.close(CloseMode.IMMEDIATE);
--- /dev/null
+++ b/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
@@ -0,0 +1,74 @@
+package org.vanilladoor.duty;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Counting requests by window, and adding up what all processes counted. */
+class UsageDutyTests {
+    private static final long NOW = 50_000;
+
+    @Test
+    void requestsAreCountedInTheWindowInWhichTheyBegan() {
+        UsageLedger ledger = UsageLedger.create(5_000);
+        ledger.began("a", 9_999);
+        ledger.began("a", 10_000);
+        ledger.began("b", 10_001);
+        assertThat(ledger.counts())
+                .containsExactly(1L, Map.of("a", 1L), 2L, Map.of("a", 1L, "b", 1L));
+        assertThat(ledger.endMillis(1)).isEqualTo(10_000);
+    }
+
+    @Test
+    void countsOfProcessesThatAreGoneStillCount() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
+        board.list(List.of(listed("one", 2, 5), listed("two", 1, 4)), NOW + 8_000);
+        assertThat(board.usage(7)).containsExactly("team", 9L);
+        assertThat(board.living(NOW + 8_000)).isEqualTo(1);
+    }
+
+    @Test
+    void aWindowIsCompleteOnceAllLivingProcessesHaveGoneBeyondIt() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
+        assertThat(board.isComplete(1_000, NOW)).isTrue();
+        assertThat(board.isComplete(1_001, NOW)).isFalse();
+        assertThat(board.isComplete(1_001, NOW + MemberBoard.SILENT_MILLIS)).isTrue();
+    }
+
+    @Test
+    void reportsOfProcessesLongGoneAreObsolete() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
+        board.list(List.of(listed("one", 2, 3), listed("two", 1, 4)), NOW + 70_000);
+        assertThat(board.obsolete(NOW + 70_000)).containsExactly("members/two.1");
+    }
+
+    @Test
+    void aFewProcessesStandByForTheLeaseAndAllAgreeOnThem() {
+        List<MemberBoard.Listed> all =
+                List.of("1", "2", "3", "4", "5", "6", "7", "8", "9").stream()
+                        .map(name -> listed(name, 1, 1))
+                        .toList();
+        long candidates =
+                all.stream()
+                        .filter(
+                                each -> {
+                                    MemberBoard board = MemberBoard.create(each.object());
+                                    board.list(all, NOW);
+                                    return board.isCandidate(NOW);
+                                })
+                        .count();
+        assertThat(candidates).isEqualTo(4);
+    }
+
+    private static MemberBoard.Listed listed(String machine, long version, long count) {
+        return new MemberBoard.Listed(
+                "members/" + machine + ".1",
+                version,
+                new MemberReport(machine, "1", 1_000, Map.of(7L, Map.of("team", count)), Map.of()));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/fleet/Endpoints.java
@@ -0,0 +1,63 @@
+package org.vanilladoor.fleet;
+
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.engine.EngineRole;
+
+/** Endpoints for tests. */
+public final class Endpoints {
+    public static final String SERVICE = "model";
+    private static final int SLOTS = 64;
+
+    private Endpoints() {}
+
+    public static Endpoint engine(String name, String domain, EngineRole role) {
+        return at(name, domain, role, new HostPort("127.0.0.1", 1));
+    }
+
+    public static Endpoint at(String name, String domain, EngineRole role, HostPort address) {
+        return new Endpoint(
+                name, SERVICE, address, domain, SLOTS, false, role, false, false, 1_000);
+    }
+
+    public static Endpoint leaving(Endpoint endpoint) {
+        return new Endpoint(
+                endpoint.name(),
+                endpoint.service(),
+                endpoint.address(),
+                endpoint.failureDomain(),
+                endpoint.slots(),
+                true,
+                endpoint.role(),
+                endpoint.changing(),
+                endpoint.reclaimable(),
+                endpoint.bornMillis());
+    }
+
+    public static Endpoint changing(Endpoint endpoint, EngineRole role) {
+        return new Endpoint(
+                endpoint.name(),
+                endpoint.service(),
+                endpoint.address(),
+                endpoint.failureDomain(),
+                endpoint.slots(),
+                endpoint.leaving(),
+                role,
+                true,
+                endpoint.reclaimable(),
+                endpoint.bornMillis());
+    }
+
+    public static Endpoint reclaimable(Endpoint endpoint) {
+        return new Endpoint(
+                endpoint.name(),
+                endpoint.service(),
+                endpoint.address(),
+                endpoint.failureDomain(),
+                endpoint.slots(),
+                endpoint.leaving(),
+                endpoint.role(),
+                endpoint.changing(),
+                true,
+                endpoint.bornMillis());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/gateway/EventAssemblerTests.java
@@ -0,0 +1,57 @@
+package org.vanilladoor.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** Cutting an event stream at the ends of its events. */
+class EventAssemblerTests {
+    private static final String STREAM =
+            "id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid:3\ndata: three\ndata: more\n\n";
+
+    @Test
+    void partOfAnEventIsHeldBackUntilItsEnd() {
+        EventAssembler assembler = EventAssembler.create();
+        assertThat(text(assembler.add(bytes("id: 1\ndata: o")))).isEmpty();
+        assertThat(assembler.endsWithWholeEvent()).isFalse();
+        assertThat(text(assembler.add(bytes("ne\n\nid: 2\nda")))).isEqualTo("id: 1\ndata: one\n\n");
+        assertThat(assembler.lastIdentifier()).hasValue("1");
+        assertThat(assembler.endsWithWholeEvent()).isFalse();
+    }
+
+    @Property(tries = 500, seed = "8201")
+    void howeverTheBytesAreCutTheEventsComeOutWholeAndUnchanged(
+            @ForAll @Size(min = 1, max = 40) List<@IntRange(min = 1, max = 9) Integer> pieces) {
+        EventAssembler assembler = EventAssembler.create();
+        ByteArrayOutputStream passed = new ByteArrayOutputStream();
+        byte[] all = bytes(STREAM);
+        int from = 0;
+        for (int index = 0; from < all.length; index++) {
+            int to = Math.min(all.length, from + pieces.get(index % pieces.size()));
+            byte[] whole = assembler.add(java.util.Arrays.copyOfRange(all, from, to));
+            if (whole.length > 0) {
+                assertThat(text(whole)).matches("(?s).*\\n\\r?\\n");
+            }
+            passed.writeBytes(whole);
+            from = to;
+        }
+        assertThat(text(passed.toByteArray())).isEqualTo(STREAM);
+        assertThat(assembler.endsWithWholeEvent()).isTrue();
+        assertThat(assembler.lastIdentifier()).hasValue("3");
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/DecoderTests.java
@@ -0,0 +1,159 @@
+package org.vanilladoor.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vanilladoor.common.InvalidInputException;
+import org.vanilladoor.common.Json;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.fleet.Endpoint;
+import org.vanilladoor.route.Route;
+import org.vanilladoor.route.RouteKind;
+import org.vanilladoor.route.ServiceDefinition;
+import org.vanilladoor.route.ServingConfiguration;
+
+/** Settings, configurations and entries of endpoints, good and bad. */
+class DecoderTests {
+    private static final String CONFIGURATION =
+            """
+            {"version":7,"routes":[
+             {"name":"r1","host":"h","prefix":"/a/","type":"stream","timeout_ms":2000,"slo_ms":150,
+              "priority":0,"split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+              "attempts":2,"public":false,"sticky":true,"resumable":true,"gap_slo_ms":150},
+             {"name":"r2","host":"h","prefix":"/a/b/","type":"unsafe","service":"y","public":true},
+             {"name":"r3","host":"h","prefix":"/c/","type":"unheard of","service":"y"}],
+             "services":[{"name":"x","max_conns":780,"engine":{"slots":64,"kv_tokens":600000,
+              "switch_s":3.0},"scaling":{"min":1,"max":6,"boot_s":4.0,"spot_price":0.22,
+              "zone_prices":{"a":1.0}}}],
+             "limits":{"max_body_bytes":1000},
+             "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]}
+            """;
+
+    @Test
+    void aConfigurationIsReadAndARouteThatCannotBeReadIsLeftOut() {
+        ServingConfiguration configuration = ConfigurationDecoder.decode(json(CONFIGURATION));
+        assertThat(configuration.version()).isEqualTo(7);
+        Route route = configuration.route("h", "/a/c").orElseThrow();
+        assertThat(route.kind()).isEqualTo(RouteKind.STREAM);
+        assertThat(route.mayRunAgain()).isTrue();
+        assertThat(route.service(0.89)).isEqualTo("x");
+        assertThat(route.service(0.91)).isEqualTo("y");
+        assertThat(configuration.needsKey(route)).isTrue();
+        assertThat(configuration.route("h", "/a/b/c").orElseThrow().name()).isEqualTo("r2");
+        assertThat(configuration.route("h", "/c/d")).isEqualTo(Optional.empty());
+        assertThat(configuration.team("k2").orElseThrow().rank()).isEqualTo(OptionalInt.of(1));
+        ServiceDefinition service = configuration.service("x").orElseThrow();
+        assertThat(service.scaling().orElseThrow().reclaimablePrice()).isEqualTo(0.22);
+        assertThat(service.engine().orElseThrow().roleChangeMillis()).isEqualTo(3_000);
+    }
+
+    @Test
+    void aConfigurationWithoutVersionIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> ConfigurationDecoder.decode(json("{}")));
+    }
+
+    @Test
+    void anEntryNamesAnEndpoint() {
+        Endpoint endpoint = EndpointDecoder.decode("i", entry("ready", "prefill"), json("null"));
+        assertThat(endpoint.role()).isEqualTo(EngineRole.PREFILL);
+        assertThat(endpoint.isUsable()).isTrue();
+        assertThat(endpoint.bornMillis()).isEqualTo(5);
+        assertThat(
+                        EndpointDecoder.decode("i", entry("draining", "decode"), json("null"))
+                                .isUsable())
+                .isFalse();
+    }
+
+    @Test
+    void anAnnouncementGoesBeforeTheEntryUntilTheEndpointStartsAgain() {
+        Endpoint engine = EndpointDecoder.decode("i", entry("ready", "decode"), json("null"));
+        JsonNode announced = EndpointDecoder.announcement(engine, EngineRole.PREFILL, true);
+        Endpoint changing = EndpointDecoder.decode("i", entry("ready", "decode"), announced);
+        assertThat(changing.role()).isEqualTo(EngineRole.PREFILL);
+        assertThat(changing.isUsable()).isFalse();
+        JsonNode reborn =
+                json(entry("ready", "decode").toString().replace("\"born\":5", "\"born\":6"));
+        Endpoint restarted = EndpointDecoder.decode("i", reborn, announced);
+        assertThat(restarted.role()).isEqualTo(EngineRole.DECODE);
+        assertThat(restarted.isUsable()).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{}",
+                "null",
+                "[]",
+                "{\"state\":\"asleep\"}",
+                "{\"state\":\"ready\",\"service\":7}",
+                "{\"state\":\"ready\",\"service\":\"s\",\"addr\":\"nowhere\",\"zone\":\"z\","
+                        + "\"slots\":1}",
+                "{\"state\":\"ready\",\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\","
+                        + "\"slots\":\"many\"}",
+                "{\"state\":\"ready\",\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\","
+                        + "\"slots\":1,\"phase\":\"dreaming\"}"
+            })
+    void anEntryThatCannotBeReadNamesNoEndpoint(String content) {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> EndpointDecoder.decode("i", json(content), json("null")));
+    }
+
+    @Test
+    void settingsAreReadAndUnknownFieldsPassedOver() {
+        PlatformSettings settings =
+                PlatformSettings.parse(
+                        "local.toml",
+                        """
+                        node = "n"
+                        zone = "z"
+                        new_field = 3
+                        [listen]
+                        front = "10.1.0.7:8405"
+                        ready = "10.1.0.7:8406"
+                        [platform]
+                        addr = "10.200.1.7:8408"
+                        [bounds]
+                        retry_ratio = 0.2
+                        retry_extra = 108
+                        retry_window_s = 10
+                        grace_s = 8
+                        """);
+        assertThat(settings.callerAddress().toString()).isEqualTo("10.1.0.7:8405");
+        assertThat(settings.retryExtra()).isEqualTo(108.0);
+        assertThat(settings.graceMillis()).isEqualTo(8_000);
+        assertThat(settings.cloud()).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void everythingThatIsWrongWithSettingsIsSaidAtOnce() {
+        InvalidInputException failure =
+                assertThrows(
+                        InvalidInputException.class,
+                        () ->
+                                PlatformSettings.parse(
+                                        "local.toml", "node = 3\n[listen]\nfront=\"x\""));
+        assertThat(failure.findings().size()).isAtLeast(4);
+        assertThat(failure.getMessage()).contains("local.toml:1: node");
+    }
+
+    private static JsonNode entry(String state, String phase) {
+        return json(
+                "{\"service\":\"s\",\"addr\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":8,\"state\":\""
+                        + state
+                        + "\",\"phase\":\""
+                        + phase
+                        + "\",\"born\":5}");
+    }
+
+    private static JsonNode json(String text) {
+        return Json.read(text.getBytes(StandardCharsets.UTF_8), JsonNode.class);
+    }
+}
