Order reclaimed endpoints again, and stop announcing engines that are gone

Cause: after a failure domain's reclaimable engines were taken back at 18.2 s nothing replaced them, since the order already stood; an engine that was gone while it changed its role was announced without end. An order is given again once its endpoints would have registered and did not; an engine that is gone is dropped. Ruled out: late orders (all were accepted in time).

--- a/src/main/java/org/vanilladoor/duty/FleetSize.java
+++ b/src/main/java/org/vanilladoor/duty/FleetSize.java
@@ -39,6 +39,9 @@
     /** Largest size, as a multiple of the first one. */
     private static final double MOST_SIZE = 2.5;
 
+    /** Time beyond its start in which a new endpoint registers, in milliseconds. */
+    private static final long REGISTER_MILLIS = 3_000;
+
     /** Time for which the number of endpoints has to stand before the first order. */
     private static final long SETTLED_MILLIS = 3_000;
 
@@ -52,7 +55,7 @@
     private static final long DRY_MILLIS = 6_000;
 
     private final Map<String, Long> mDryUntilMillis = new HashMap<>();
-    private final Map<Kind, Integer> mOrdered = new HashMap<>();
+    private final Map<Kind, Given> mGiven = new HashMap<>();
     private Work mPeak = Work.NONE;
     private long mPeakMillis;
     private int mFirstSize;
@@ -93,17 +96,32 @@
                 cheap
                         ? cheapOrders(service.name(), scaling, endpoints, size, nowMillis)
                         : steadyOrders(service.name(), scaling, endpoints, size);
-        orders.removeIf(order -> order.number() == mOrdered.getOrDefault(Kind.of(order), -1));
+        orders.removeIf(order -> isInForce(order, endpoints, scaling, nowMillis));
         return orders;
     }
 
+    /** Returns whether an order was given and its endpoints are there or on their way. */
+    private boolean isInForce(
+            FleetOrders.FleetOrder order,
+            List<Endpoint> endpoints,
+            Scaling scaling,
+            long nowMillis) {
+        Given given = mGiven.get(Kind.of(order));
+        if (given == null || given.number() != order.number()) {
+            return false;
+        }
+        int present = count(endpoints, order.reclaimable()).getOrDefault(order.failureDomain(), 0);
+        boolean onTheirWay = nowMillis - given.atMillis() < scaling.startMillis() + REGISTER_MILLIS;
+        return present >= order.number() || onTheirWay;
+    }
+
     /** Notes the answer to an order. */
     public void answered(FleetOrders.FleetOrder order, boolean accepted, long nowMillis) {
         mOrderedMillis = nowMillis;
         if (accepted) {
-            mOrdered.put(Kind.of(order), order.number());
+            mGiven.put(Kind.of(order), new Given(order.number(), nowMillis));
         } else {
-            mOrdered.remove(Kind.of(order));
+            mGiven.remove(Kind.of(order));
             mDryUntilMillis.put(order.failureDomain(), nowMillis + DRY_MILLIS);
         }
     }
@@ -159,7 +177,8 @@
         for (String domain : domains) {
             int share = shares.getOrDefault(domain, 0);
             boolean stoodIn = share > 0 && reclaimable.getOrDefault(domain, 0) >= share;
-            if (stoodIn && steady.getOrDefault(domain, 0) > minimum && wet.contains(domain)) {
+            int present = steady.getOrDefault(domain, 0);
+            if (present < minimum || (stoodIn && present > minimum && wet.contains(domain))) {
                 orders.add(new FleetOrders.FleetOrder(service, domain, minimum, false));
             }
         }
@@ -215,6 +234,9 @@
         return counts;
     }
 
+    /** An order that was accepted. */
+    private record Given(int number, long atMillis) {}
+
     /** Which endpoints an order counts. */
     private record Kind(String failureDomain, boolean reclaimable) {
         static Kind of(FleetOrders.FleetOrder order) {
--- a/src/main/java/org/vanilladoor/duty/RoleDuty.java
+++ b/src/main/java/org/vanilladoor/duty/RoleDuty.java
@@ -141,14 +141,15 @@
 
     /** Announces the role that the engine has, once no order is being carried out. */
     private void settle(Endpoint engine) {
+        if (mDirectory.find(engine.name()).isEmpty()) {
+            mOpen.remove(engine.name());
+            return;
+        }
         mOrders.report(engine)
                 .whenComplete(
                         (report, failure) -> {
-                            boolean gone = mDirectory.find(engine.name()).isEmpty();
                             if (failure == null && !report.busy()) {
                                 announceSettled(engine, report.role());
-                            } else if (gone) {
-                                mOpen.remove(engine.name());
                             } else {
                                 settleLater(engine, false);
                             }
@@ -167,7 +168,8 @@
                                     "role",
                                     role);
                             if (failure == null) {
-                                mOpen.remove(engine.name());
+                                // The directory hears of it a little later than this answer.
+                                mControl.delay(CHECK, () -> mOpen.remove(engine.name()));
                             } else {
                                 settleLater(engine, false);
                             }
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -80,7 +80,7 @@
                         .setIOSessionDecorator(sessions::watch)
                         .setIOSessionListener(sessions)
                         .setExceptionCallback(
-                                e -> LOG.warn("front: A connection failed: {}.", e.toString()))
+                                e -> LOG.debug("front: A connection failed: {}.", e.toString()))
                         .setRequestRouter(
                                 (request, context) ->
                                         () ->
--- a/src/test/java/org/vanilladoor/duty/FleetSizeTests.java
+++ b/src/test/java/org/vanilladoor/duty/FleetSizeTests.java
@@ -56,6 +56,23 @@
                 .doesNotContain(refused.failureDomain());
     }
 
+    @Test
+    void endpointsThatWereReclaimedAreOrderedAgainOnceNewOnesWouldHaveCome() {
+        List<FleetOrders.FleetOrder> orders = settled(cheap(), engines(3, 0), Work.NONE);
+        orders.forEach(order -> mSize.answered(order, true, NOW + 5_000));
+        assertThat(mSize.decide(cheap(), engines(3, 0), Work.NONE, NOW + 9_000)).isEmpty();
+        assertThat(mSize.decide(cheap(), engines(3, 0), Work.NONE, NOW + 13_000))
+                .containsExactlyElementsIn(
+                        orders.stream().filter(order -> order.number() > 0).toList());
+        assertThat(mSize.decide(cheap(), engines(3, 3), Work.NONE, NOW + 13_000)).isEmpty();
+    }
+
+    @Test
+    void steadyEndpointsThatAreLostAreOrderedAgain() {
+        List<FleetOrders.FleetOrder> orders = settled(cheap(), engines(2, 0), Work.NONE);
+        assertThat(orders).contains(new FleetOrders.FleetOrder(Endpoints.SERVICE, "c", 1, false));
+    }
+
     @Test
     void withoutCheapEndpointsACalmFleetStaysAsItIs() {
         assertThat(settled(service(0.9), engines(6, 0), new Work(0.5, 10))).isEmpty();
