--- a/src/main/java/org/vanilladoor/command/Main.java
+++ b/src/main/java/org/vanilladoor/command/Main.java
@@ -53,6 +53,7 @@
         return List.of(
                 new EntryCommand(),
                 new ServeCommand(),
+                new WarmUpCommand(),
                 new StandInCommand(),
                 new DemoCommand(),
                 new CheckCommand(),
--- a/src/main/java/org/vanilladoor/command/ServeCommand.java
+++ b/src/main/java/org/vanilladoor/command/ServeCommand.java
@@ -6,8 +6,11 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.apache.logging.log4j.LogManager;
+import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.InvalidInputException;
 import org.vanilladoor.platform.PlatformSettings;
 import org.vanilladoor.platform.ServeProcess;
+import sun.misc.Signal;
 
 /**
  * Serves on the operators' platform until the process is asked to stop.
@@ -45,6 +48,8 @@
         }
         PlatformSettings settings = PlatformSettings.parse(file, CommandFiles.read(file));
         ServeProcess process = ServeProcess.start(settings);
+        // Without a handler the JVM ends on this signal.
+        Signal.handle(new Signal("HUP"), signal -> reload(file, settings));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(
@@ -61,4 +66,14 @@
         }
         return ExitCode.OK;
     }
+
+    /** Checks changed settings; addresses and bounds hold from the next start on. */
+    private static void reload(String file, PlatformSettings before) {
+        try {
+            PlatformSettings now = PlatformSettings.parse(file, CommandFiles.read(file));
+            EventLog.write("process", "settings.changed", "differ", !now.equals(before));
+        } catch (InvalidInputException | UsageException | IOException e) {
+            EventLog.write("process", "settings.invalid", "reason", e.getMessage());
+        }
+    }
 }
--- a/src/main/java/org/vanilladoor/common/ExpiryClock.java
+++ b/src/main/java/org/vanilladoor/common/ExpiryClock.java
@@ -1,5 +1,7 @@
 package org.vanilladoor.common;
 
+import java.util.function.LongSupplier;
+
 /**
  * A clock for what expires: it never runs slower than the monotonic clock or the wall clock.
  *
@@ -9,19 +11,37 @@
  * any thread.
  */
 public final class ExpiryClock {
-    private static long sMonotonicMillis = MonotonicClock.nowMillis();
-    private static long sWallMillis = System.currentTimeMillis();
-    private static long sNowMillis;
+    private static final ExpiryClock SYSTEM =
+            over(MonotonicClock::nowMillis, System::currentTimeMillis);
+    private final LongSupplier mMonotonic;
+    private final LongSupplier mWall;
+    private long mMonotonicMillis;
+    private long mWallMillis;
+    private long mNowMillis;
+
+    private ExpiryClock(LongSupplier monotonic, LongSupplier wall) {
+        mMonotonic = monotonic;
+        mWall = wall;
+        mMonotonicMillis = monotonic.getAsLong();
+        mWallMillis = wall.getAsLong();
+    }
 
-    private ExpiryClock() {}
+    /** Returns a clock over two others, in milliseconds. */
+    static ExpiryClock over(LongSupplier monotonic, LongSupplier wall) {
+        return new ExpiryClock(monotonic, wall);
+    }
+
+    /** Returns the time in milliseconds, by the clocks of this VM. */
+    public static long nowMillis() {
+        return SYSTEM.read();
+    }
 
-    /** Returns the time in milliseconds. */
-    public static synchronized long nowMillis() {
-        long monotonic = MonotonicClock.nowMillis();
-        long wall = System.currentTimeMillis();
-        sNowMillis += Math.max(0, Math.max(monotonic - sMonotonicMillis, wall - sWallMillis));
-        sMonotonicMillis = monotonic;
-        sWallMillis = wall;
-        return sNowMillis;
+    synchronized long read() {
+        long monotonic = mMonotonic.getAsLong();
+        long wall = mWall.getAsLong();
+        mNowMillis += Math.max(0, Math.max(monotonic - mMonotonicMillis, wall - mWallMillis));
+        mMonotonicMillis = monotonic;
+        mWallMillis = wall;
+        return mNowMillis;
     }
 }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -4,11 +4,13 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.duty.Duties;
 import org.vanilladoor.fleet.EndpointDirectory;
@@ -57,7 +59,8 @@
     private final Links mLinks;
     private final ServingState mState;
     private final Gateway mGateway;
-    private final FrontServer mReadiness;
+    private final FrontServer mOperators;
+    private final MetricsPage mMetricsPage;
     private final FrontServer mCallers;
 
     private ServeProcess(PlatformSettings settings) throws IOException {
@@ -113,7 +116,9 @@
                 random,
                 EndpointFeed.create(directory, mState));
         mCallers = listen(settings.callerAddress(), mGateway::arrived);
-        mReadiness = listen(settings.readinessAddress(), this::answerReadiness);
+        mMetricsPage = MetricsPage.create(registry);
+        mOperators = listen(settings.readinessAddress(), this::answerOperators);
+        mOperators.alsoListen(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
         mControl.repeat(TIDY, () -> tidy(directory, placement));
     }
 
@@ -152,7 +157,7 @@
         }
         EventLog.write("process", "stopped", "open", mGateway.openRequests());
         mCallers.close();
-        mReadiness.close();
+        mOperators.close();
         mLinks.close();
         mControl.close();
     }
@@ -163,13 +168,20 @@
         return now < killedMillis && (leaving || mGateway.openRequests() > 0);
     }
 
-    private FrontServer listen(
-            org.vanilladoor.common.HostPort address,
-            java.util.function.Consumer<FrontExchange> arrived)
+    private FrontServer listen(HostPort address, Consumer<FrontExchange> arrived)
             throws IOException {
         return FrontServer.start(address, mControl, HEADER_BYTES, this::bodyBytes, arrived);
     }
 
+    /** Metrics that can't be had are no reason not to serve. */
+    private void listenForMetrics(HostPort address) {
+        try {
+            mOperators.alsoListen(address);
+        } catch (IOException e) {
+            EventLog.write("process", "metrics.unavailable", "reason", e.getMessage());
+        }
+    }
+
     private int bodyBytes() {
         return mState.configuration()
                 .map(ServingConfiguration::limits)
@@ -177,7 +189,11 @@
                 .orElse(DEFAULT_BODY_BYTES);
     }
 
-    private void answerReadiness(FrontExchange exchange) {
+    private void answerOperators(FrontExchange exchange) {
+        if (exchange.request().getRequestUri().startsWith(MetricsPage.PATH)) {
+            mMetricsPage.answer(exchange, mState, mGateway.openRequests());
+            return;
+        }
         int status = mState.isReady() ? HttpStatus.SC_OK : HttpStatus.SC_SERVICE_UNAVAILABLE;
         exchange.respond(new BasicHttpResponse(status), new byte[0]);
     }
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.apache.hc.core5.http.HttpConnection;
@@ -99,6 +100,15 @@
         return mAddress;
     }
 
+    /**
+     * Listens on a further address.
+     *
+     * @throws IOException if the address can't be listened on
+     */
+    public void alsoListen(HostPort address) throws IOException {
+        listen(mServer, address);
+    }
+
     /** Returns whether it still takes requests. */
     public boolean isRunning() {
         return mServer.getStatus() == IOReactorStatus.ACTIVE;
@@ -130,7 +140,7 @@
             return new HostPort(address.host(), port);
         } catch (ExecutionException e) {
             throw new IOException("can't listen on " + address, e.getCause());
-        } catch (java.util.concurrent.TimeoutException e) {
+        } catch (TimeoutException e) {
             throw new IOException("can't listen on " + address + " in time", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/test/java/org/vanilladoor/PackageRulesTests.java
+++ b/src/test/java/org/vanilladoor/PackageRulesTests.java
@@ -46,4 +46,22 @@
                     .should()
                     .dependOnClassesThat()
                     .resideInAnyPackage("..http..", "..peer..", "java.net..");
+
+    @ArchTest
+    static final ArchRule ONLY_COMMANDS_KNOW_THE_OPERATORS_PLATFORM =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackages("..platform..", "..command..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage("..platform..");
+
+    @ArchTest
+    static final ArchRule SERVING_DECISIONS_USE_NO_SOCKETS =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage("..route..", "..fleet..", "..duty..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage("..transport..", "org.apache.hc..", "java.net..");
 }
