Reckon with unknown and unseen VMs when sharing out repeats; keep peaks of running requests

A VM that could not list the others took the whole budget for repeats once all reports were seven seconds old, and one that had just started did so at once. Living VMs are counted at the last listing now, and 50 are reckoned with before the first. Unknown keys and routes are the caller's fault only within 1.9 s of a confirmation (was 2.5), inside the two seconds in which a change has to be in force. Roles follow the peak of running requests, which fades over a minute, since each flip takes an engine away for seconds.

--- a/src/main/java/org/vanilladoor/duty/Duties.java
+++ b/src/main/java/org/vanilladoor/duty/Duties.java
@@ -85,8 +85,7 @@
     }
 
     private void pulse(ServingState state) {
-        long now = MonotonicClock.nowMillis();
-        mLease.want(!state.isStopping() && (mLease.isHeld() || mBoard.isCandidate(now)));
+        mLease.want(!state.isStopping() && (mLease.isHeld() || mBoard.isCandidate()));
         boolean holder = mLease.isHeld();
         mExchange.pulse(holder);
         if (!holder) {
@@ -97,11 +96,11 @@
         }
         mRoles.pulse(mLease);
         mSize.pulse(mLease);
-        forgetObsolete(now);
+        forgetObsolete();
     }
 
-    private void forgetObsolete(long now) {
-        mBoard.obsolete(now).stream()
+    private void forgetObsolete() {
+        mBoard.obsolete().stream()
                 .limit(1)
                 .forEach(
                         object ->
--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -35,10 +35,15 @@
     /** Part of the slots that is in use after a change, so that the next one is not near. */
     private static final double SPARE_RUNNING = 0.55;
 
+    /** Time after which a peak of running requests counts a third, in milliseconds. */
+    private static final double PEAK_FADE_MILLIS = 60_000;
+
     /** Time for which an engine keeps a role, in milliseconds; a change takes it away for a few. */
     private static final long DWELL_MILLIS = 20_000;
 
     private final Map<String, Long> mChangedMillis = new HashMap<>();
+    private double mPeakRunning;
+    private long mPeakMillis;
 
     private FleetPlan() {}
 
@@ -63,7 +68,8 @@
         List<Endpoint> runners = withRole(usable, EngineRole.DECODE);
         List<Endpoint> readers = withRole(usable, EngineRole.PREFILL);
         int slots = service.engine().get().slots();
-        int wanted = wantedReaders(usable.size(), readers.size(), work, slots);
+        Work reckoned = new Work(work.reading(), peakRunning(work.running(), nowMillis));
+        int wanted = wantedReaders(usable.size(), readers.size(), reckoned, slots);
         List<RoleChange> changes = new ArrayList<>();
         List<Endpoint> left = new ArrayList<>(runners);
         for (int missing = wanted - readers.size(); missing > 0; missing--) {
@@ -86,6 +92,14 @@
         return changes;
     }
 
+    /** Returns the running requests to reckon with: the latest peak, fading slowly. */
+    private double peakRunning(double running, long nowMillis) {
+        double faded = mPeakRunning * Math.exp((mPeakMillis - nowMillis) / PEAK_FADE_MILLIS);
+        mPeakRunning = Math.max(running, faded);
+        mPeakMillis = nowMillis;
+        return mPeakRunning;
+    }
+
     /** Notes that a change was ordered. */
     public void ordered(RoleChange change, long nowMillis) {
         mChangedMillis.put(change.engine().name(), nowMillis);
@@ -97,7 +111,7 @@
         if (runners < LEAST_RUNNERS || neededSlots > BUSY_RUNNING * runners) {
             return Math.min(readers, engines - runnersFor(neededSlots));
         }
-        if (work.equals(Work.NONE) && engines >= LEAST_ENGINES_TO_PREPARE) {
+        if (work.reading() == 0 && work.running() == 0 && engines >= LEAST_ENGINES_TO_PREPARE) {
             return Math.max(readers, (int) (engines * FIRST_READERS));
         }
         boolean asked = work.reading() > LEAST_READING;
--- a/src/main/java/org/vanilladoor/duty/MemberBoard.java
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -12,13 +12,19 @@
 /**
  * The reports of all processes as last listed, and which of the processes live.
  *
- * <p>A process lives if its report has changed lately by this VM's monotonic clock; no clocks are
- * compared. Time and listings go in; belongs to the control thread.
+ * <p>A process lives if its report changed within a while before the last listing, by this VM's
+ * monotonic clock; no clocks are compared. Invariant: nobody is given up while nothing can be
+ * listed. Listings go in; belongs to the control thread.
  */
 public final class MemberBoard {
     /** Time without a new report after which a process counts as gone, in milliseconds. */
     public static final long SILENT_MILLIS = 7_000;
 
+    /**
+     * Number of processes to reckon with before any are known; more than a deployment has today.
+     */
+    public static final int UNKNOWN = 50;
+
     /** Processes that stand by for the lease; enough for a failure domain and a VM to be lost. */
     private static final int CANDIDATES = 4;
 
@@ -28,6 +34,7 @@
     private final String mOwnObject;
     private final Map<String, Entry> mEntries = new TreeMap<>();
     private boolean mListed;
+    private long mListedMillis;
 
     private MemberBoard(String ownObject) {
         mOwnObject = ownObject;
@@ -49,6 +56,7 @@
         mEntries.keySet().retainAll(byName.keySet());
         byName.values().forEach(each -> take(each, nowMillis));
         mListed = true;
+        mListedMillis = nowMillis;
     }
 
     private void take(Listed listed, long nowMillis) {
@@ -58,17 +66,17 @@
         }
     }
 
-    /** Returns how many processes live, this one among them. */
-    public int living(long nowMillis) {
-        return Math.max(1, livingNames(nowMillis).size());
+    /** Returns how many processes live, or {@link #UNKNOWN} before the first listing. */
+    public int living() {
+        return mListed ? Math.max(1, livingNames().size()) : UNKNOWN;
     }
 
     /** Returns whether this process is one of those that stand by for the lease. */
-    public boolean isCandidate(long nowMillis) {
+    public boolean isCandidate() {
         if (!mListed) {
             return true;
         }
-        TreeSet<String> names = new TreeSet<>(livingNames(nowMillis));
+        TreeSet<String> names = new TreeSet<>(livingNames());
         names.add(mOwnObject);
         return RendezvousRanking.rank("fleet", names).stream()
                 .limit(CANDIDATES)
@@ -76,10 +84,10 @@
     }
 
     /** Returns the work of all living processes, by service. */
-    public Map<String, Work> work(long nowMillis) {
+    public Map<String, Work> work() {
         Map<String, Work> sums = new HashMap<>();
         mEntries.values().stream()
-                .filter(entry -> entry.isLiving(nowMillis))
+                .filter(entry -> entry.isLiving(mListedMillis))
                 .forEach(
                         entry ->
                                 entry.listed()
@@ -108,27 +116,27 @@
     }
 
     /** Returns whether the counts of all living processes go beyond a wall time. */
-    public boolean isComplete(long wallMillis, long nowMillis) {
+    public boolean isComplete(long wallMillis) {
         return mEntries.values().stream()
-                .filter(entry -> entry.isLiving(nowMillis))
+                .filter(entry -> entry.isLiving(mListedMillis))
                 .allMatch(entry -> entry.listed().report().wallMillis() >= wallMillis);
     }
 
     /** Returns the objects of processes that have been gone for long. */
-    public List<String> obsolete(long nowMillis) {
+    public List<String> obsolete() {
         List<String> obsolete = new ArrayList<>();
         mEntries.forEach(
                 (object, entry) -> {
-                    if (nowMillis - entry.changedMillis() > KEPT_MILLIS) {
+                    if (mListedMillis - entry.changedMillis() > KEPT_MILLIS) {
                         obsolete.add(object);
                     }
                 });
         return obsolete;
     }
 
-    private List<String> livingNames(long nowMillis) {
+    private List<String> livingNames() {
         return mEntries.entrySet().stream()
-                .filter(entry -> entry.getValue().isLiving(nowMillis))
+                .filter(entry -> entry.getValue().isLiving(mListedMillis))
                 .map(Map.Entry::getKey)
                 .toList();
     }
@@ -144,8 +152,8 @@
 
     /** A report with the time at which its version was first seen. */
     private record Entry(Listed listed, long changedMillis) {
-        boolean isLiving(long nowMillis) {
-            return nowMillis - changedMillis < SILENT_MILLIS;
+        boolean isLiving(long listedMillis) {
+            return listedMillis - changedMillis < SILENT_MILLIS;
         }
     }
 }
--- a/src/main/java/org/vanilladoor/duty/MemberExchange.java
+++ b/src/main/java/org/vanilladoor/duty/MemberExchange.java
@@ -74,7 +74,7 @@
         if (!mListing && now - mListedMillis >= pause) {
             list(holder, now);
         }
-        mState.setMachines(mBoard.living(now));
+        mState.setMachines(mBoard.living());
     }
 
     private void write(long now) {
--- a/src/main/java/org/vanilladoor/duty/RoleDuty.java
+++ b/src/main/java/org/vanilladoor/duty/RoleDuty.java
@@ -77,7 +77,7 @@
     }
 
     private void change(ServiceDefinition service, LeaseHold lease, long now) {
-        Work work = mBoard.work(now).getOrDefault(service.name(), Work.NONE);
+        Work work = mBoard.work().getOrDefault(service.name(), Work.NONE);
         for (FleetPlan.RoleChange change :
                 mPlan.decide(service, mDirectory.of(service.name()), work, now)) {
             if (mOpen.add(change.engine().name())) {
--- a/src/main/java/org/vanilladoor/duty/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/duty/UsageDuty.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletionException;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.Json;
-import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.VersionConflictException;
@@ -74,7 +73,7 @@
 
     private boolean isDue(long window, long wallMillis) {
         long end = mLedger.endMillis(window);
-        boolean complete = mBoard.isComplete(end, MonotonicClock.nowMillis());
+        boolean complete = mBoard.isComplete(end);
         return wallMillis >= end + LATEST_MILLIS || (wallMillis >= end + SETTLE_MILLIS && complete);
     }
 
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -32,8 +32,11 @@
      */
     private static final long KEY_CONFIRMATION_MILLIS = 4_000;
 
-    /** Age of a confirmation up to which an unknown key or route is the caller's fault. */
-    private static final long DENIAL_CONFIRMATION_MILLIS = 2_500;
+    /**
+     * Age of a confirmation up to which an unknown key or route is the caller's fault. A change has
+     * to be in force within two seconds.
+     */
+    private static final long DENIAL_CONFIRMATION_MILLIS = 1_900;
 
     /** When a caller is to come back that met a gap of ours, in milliseconds. */
     private static final long GAP_RETRY_MILLIS = 300;
--- a/src/main/java/org/vanilladoor/gateway/ServingState.java
+++ b/src/main/java/org/vanilladoor/gateway/ServingState.java
@@ -24,7 +24,7 @@
     private volatile boolean mEndpointsKnown;
     private volatile boolean mStopping;
     private volatile long mStoppedMillis;
-    private volatile int mMachines = 1;
+    private volatile int mMachines = Integer.MAX_VALUE;
 
     private ServingState() {}
 
--- a/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
+++ b/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
@@ -27,16 +27,18 @@
         board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
         board.list(List.of(listed("one", 2, 5), listed("two", 1, 4)), NOW + 8_000);
         assertThat(board.usage(7)).containsExactly("team", 9L);
-        assertThat(board.living(NOW + 8_000)).isEqualTo(1);
+        assertThat(board.living()).isEqualTo(1);
     }
 
     @Test
     void aWindowIsCompleteOnceAllLivingProcessesHaveGoneBeyondIt() {
         MemberBoard board = MemberBoard.create("members/one.1");
         board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
-        assertThat(board.isComplete(1_000, NOW)).isTrue();
-        assertThat(board.isComplete(1_001, NOW)).isFalse();
-        assertThat(board.isComplete(1_001, NOW + MemberBoard.SILENT_MILLIS)).isTrue();
+        assertThat(board.isComplete(1_000)).isTrue();
+        assertThat(board.isComplete(1_001)).isFalse();
+        board.list(
+                List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW + MemberBoard.SILENT_MILLIS);
+        assertThat(board.isComplete(1_001)).isTrue();
     }
 
     @Test
@@ -44,7 +46,7 @@
         MemberBoard board = MemberBoard.create("members/one.1");
         board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
         board.list(List.of(listed("one", 2, 3), listed("two", 1, 4)), NOW + 70_000);
-        assertThat(board.obsolete(NOW + 70_000)).containsExactly("members/two.1");
+        assertThat(board.obsolete()).containsExactly("members/two.1");
     }
 
     @Test
@@ -59,12 +61,20 @@
                                 each -> {
                                     MemberBoard board = MemberBoard.create(each.object());
                                     board.list(all, NOW);
-                                    return board.isCandidate(NOW);
+                                    return board.isCandidate();
                                 })
                         .count();
         assertThat(candidates).isEqualTo(4);
     }
 
+    @Test
+    void nobodyIsGivenUpWhileTheStoreIsAway() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        assertThat(board.living()).isEqualTo(MemberBoard.UNKNOWN);
+        board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
+        assertThat(board.living()).isEqualTo(2);
+    }
+
     private static MemberBoard.Listed listed(String machine, long version, long count) {
         return new MemberBoard.Listed(
                 "members/" + machine + ".1",
--- a/src/test/java/org/vanilladoor/platform/GatewayTests.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayTests.java
@@ -64,6 +64,7 @@
         mState.accept(configuration(1));
         mState.confirm(ExpiryClock.nowMillis());
         mState.endpointsKnown();
+        mState.setMachines(1);
         Gateway gateway =
                 Gateway.start(
                         mControl,
