--- /dev/null
+++ b/src/main/java/org/vanilladoor/gateway/RequestLog.java
@@ -0,0 +1,62 @@
+package org.vanilladoor.gateway;
+
+import org.vanilladoor.common.EventLog;
+import org.vanilladoor.fleet.Endpoint;
+import org.vanilladoor.route.Route;
+
+/**
+ * Writes what is decided about one request.
+ *
+ * <p>Immutable and safe for use by any thread.
+ *
+ * @param identifier identifier of the request
+ */
+record RequestLog(String identifier) {
+    private static final String PART = "gateway";
+
+    void sent(EndpointCall.Stage stage, Endpoint endpoint, int call, long afterMillis) {
+        EventLog.write(
+                PART,
+                "request.sent",
+                "id",
+                identifier,
+                "stage",
+                stage,
+                "endpoint",
+                endpoint.name(),
+                "call",
+                call,
+                "after_ms",
+                afterMillis);
+    }
+
+    void elsewhere(Endpoint endpoint, String reason) {
+        EventLog.write(
+                PART,
+                "request.elsewhere",
+                "id",
+                identifier,
+                "endpoint",
+                endpoint.name(),
+                "reason",
+                reason);
+    }
+
+    void ended(Route route, String outcome, int calls, long tookMillis, String reason) {
+        EventLog.write(
+                PART,
+                "request.ended",
+                "id",
+                identifier,
+                "route",
+                route.name(),
+                "outcome",
+                outcome,
+                "calls",
+                calls,
+                "took_ms",
+                tookMillis,
+                "reason",
+                reason);
+    }
+}
--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -1,19 +1,15 @@
 package org.vanilladoor.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
-import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.route.Route;
-import org.vanilladoor.route.RouteKind;
 import org.vanilladoor.route.TeamEntry;
-import org.vanilladoor.transport.CallFailure;
 import org.vanilladoor.transport.FrontExchange;
 
 /**
@@ -41,7 +37,6 @@
     private static final int MOST_CALLS = 5;
 
     private static final int LOWEST_URGENCY = 9;
-    private static final int LARGEST_ANSWER_BYTES = 16 * 1024 * 1024;
     private final GatewayContext mContext;
     private final FrontExchange mExchange;
     private final CallerRequest mRequest;
@@ -50,13 +45,13 @@
     private final String mService;
     private final long mArrivedMillis = MonotonicClock.nowMillis();
     private final long mDeadlineMillis;
+    private final RequestLog mLog;
     private final Set<String> mExcluded = new HashSet<>();
     private final EventAssembler mEvents = EventAssembler.create();
     private Runnable mOnEnd = () -> {};
     private WaitingLine.Waiting mWaiting;
     private EndpointExchange mCall;
     private Optional<PromptMemory> mMemory = Optional.empty();
-    private ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private int mCalls;
     private int mReads;
     private int mArrivals;
@@ -77,6 +72,7 @@
         mContext = context;
         mExchange = exchange;
         mRequest = request;
+        mLog = new RequestLog(request.identifier());
         mRoute = route;
         mTeam = team;
         mService = route.service(context.random().nextDouble());
@@ -189,7 +185,6 @@
             return true;
         }
         mReads++;
-        mBody = new ByteArrayOutputStream();
         send(reader.get(), EndpointCall.Stage.READ_PROMPT);
         EndpointExchange call = mCall;
         long patience = READ_PATIENCE_OBJECTIVES * mRoute.objectiveMillis();
@@ -219,7 +214,6 @@
         }
         mArrivals++;
         mRepeatPaid = false;
-        mBody = new ByteArrayOutputStream();
         mEvents.dropPartial();
         send(runner.get(), EndpointCall.Stage.RUN);
     }
@@ -236,26 +230,20 @@
                         rank(),
                         stage == EndpointCall.Stage.RUN ? mMemory : Optional.empty(),
                         mEvents.lastIdentifier().or(mRequest::lastEvent));
-        EventLog.write(
-                "gateway",
-                "request.sent",
-                "id",
-                mRequest.identifier(),
-                "stage",
-                stage,
-                "endpoint",
-                endpoint.name(),
-                "call",
-                mCalls,
-                "after_ms",
-                now - mArrivedMillis);
+        mLog.sent(stage, endpoint, mCalls, now - mArrivedMillis);
         if (stage == EndpointCall.Stage.RUN) {
             mMemory = Optional.empty();
         }
-        mCall = EndpointExchange.send(mContext, mRequest, call, CONNECT_MILLIS, new Handler(stage));
+        mCall =
+                EndpointExchange.send(
+                        mContext,
+                        mRequest,
+                        call,
+                        CONNECT_MILLIS,
+                        new CallHandler(mContext, this, stage));
     }
 
-    private boolean mayRepeat(long nowMillis) {
+    boolean mayRepeat(long nowMillis) {
         return mCalls < MOST_CALLS
                 && mContext.retries()
                         .of(mService)
@@ -274,18 +262,10 @@
         return Math.max(0, Math.min(LOWEST_URGENCY, rank));
     }
 
-    private void tryElsewhere(Endpoint endpoint, String reason) {
+    void tryElsewhere(Endpoint endpoint, String reason) {
         mCall = null;
         mExcluded.add(endpoint.name());
-        EventLog.write(
-                "gateway",
-                "request.elsewhere",
-                "id",
-                mRequest.identifier(),
-                "endpoint",
-                endpoint.name(),
-                "reason",
-                reason);
+        mLog.elsewhere(endpoint, reason);
         if (MonotonicClock.nowMillis() + ANSWER_MILLIS >= mDeadlineMillis || mCalls >= MOST_CALLS) {
             refuseWithoutRun(Refusal.NOT_RUN, reason);
         } else {
@@ -294,7 +274,7 @@
     }
 
     /** Answers a failure: as not run if that is true, else as unknown. */
-    private void refuseWithoutRun(Refusal refusal, String reason) {
+    void refuseWithoutRun(Refusal refusal, String reason) {
         if (mStreaming) {
             finish("cut", reason);
             mExchange.abort();
@@ -303,7 +283,7 @@
         }
     }
 
-    private void refuse(Refusal refusal, String reason) {
+    void refuse(Refusal refusal, String reason) {
         mContext.metrics().refused(refusal);
         finish("refused." + refusal, reason);
         answer(mContext, mExchange, refusal, retryAfterMillis());
@@ -343,7 +323,7 @@
         finish("abandoned", "the caller left");
     }
 
-    private void finish(String outcome, String reason) {
+    void finish(String outcome, String reason) {
         mDone = true;
         noteReading(false);
         if (mWaiting != null) {
@@ -354,205 +334,92 @@
         mMemory = Optional.empty();
         long took = MonotonicClock.nowMillis() - mArrivedMillis;
         mContext.metrics().duration("requests.millis." + mRoute.kind(), took);
-        EventLog.write(
-                "gateway",
-                "request.ended",
-                "id",
-                mRequest.identifier(),
-                "route",
-                mRoute.name(),
-                "outcome",
-                outcome,
-                "calls",
-                mCalls,
-                "took_ms",
-                took,
-                "reason",
-                reason);
+        mLog.ended(mRoute, outcome, mCalls, took, reason);
         mOnEnd.run();
         mContext.lines().of(mService).advance(MonotonicClock.nowMillis());
     }
 
-    private static HttpResponse closing(GatewayContext context, HttpResponse head) {
+    static HttpResponse closing(GatewayContext context, HttpResponse head) {
         if (context.state().isStopping()) {
             head.setHeader(HttpHeaders.CONNECTION, "close");
         }
         return head;
     }
 
-    /** Hears of the call that is going on. */
-    private final class Handler implements EndpointExchange.Listener {
-        private final EndpointCall.Stage mStage;
-        private EndpointAnswer mAnswer;
-        private HttpResponse mHead;
+    Route route() {
+        return mRoute;
+    }
 
-        Handler(EndpointCall.Stage stage) {
-            mStage = stage;
-        }
+    FrontExchange exchange() {
+        return mExchange;
+    }
 
-        @Override
-        public void head(HttpResponse head, EndpointAnswer answer) {
-            mHead = head;
-            mAnswer = answer;
-        }
+    /** Returns the events that have come so far. */
+    EventAssembler events() {
+        return mEvents;
+    }
 
-        @Override
-        public void data(byte[] bytes) {
-            boolean events =
-                    mStage == EndpointCall.Stage.RUN
-                            && mRoute.kind().isStreaming()
-                            && mAnswer.isSuccess()
-                            && mAnswer.signed();
-            if (!events) {
-                if (mBody.size() + bytes.length <= LARGEST_ANSWER_BYTES) {
-                    mBody.writeBytes(bytes);
-                }
-                return;
-            }
-            byte[] whole = mEvents.add(bytes);
-            if (whole.length > 0) {
-                pass(whole);
-            }
-        }
+    long arrivedMillis() {
+        return mArrivedMillis;
+    }
 
-        private void pass(byte[] events) {
-            if (mStreaming) {
-                mExchange.write(events);
-                return;
-            }
-            mStreaming = true;
-            began();
-            mContext.metrics()
-                    .duration(
-                            "requests.first_event_millis",
-                            MonotonicClock.nowMillis() - mArrivedMillis);
-            mExchange.startStream(closing(mContext, mContext.wire().answer(mHead)), events);
-        }
+    /** Returns whether part of the answer is on its way to the caller. */
+    boolean isStreaming() {
+        return mStreaming;
+    }
 
-        @Override
-        public void ended() {
-            Endpoint endpoint = mCall.endpoint();
-            mCall = null;
-            if (mAnswer.notRun()) {
-                mContext.placement().refused(endpoint, MonotonicClock.nowMillis());
-                tryElsewhere(endpoint, "the endpoint refused with " + mAnswer.status());
-            } else if (mStage == EndpointCall.Stage.READ_PROMPT) {
-                promptRead(endpoint);
-            } else {
-                mMayHaveRun = true;
-                answered(endpoint);
-            }
-        }
+    void streamBegan() {
+        mStreaming = true;
+    }
 
-        private void promptRead(Endpoint endpoint) {
-            try {
-                if (!mAnswer.isSuccess()) {
-                    throw new IllegalArgumentException("status " + mAnswer.status());
-                }
-                String handle = mContext.wire().handle(mBody.toByteArray());
-                mMemory = Optional.of(new PromptMemory(endpoint, handle));
-                proceed();
-                mContext.lines().of(mService).advance(MonotonicClock.nowMillis());
-            } catch (IllegalArgumentException e) {
-                mContext.placement().failed(endpoint, MonotonicClock.nowMillis());
-                tryElsewhere(endpoint, "the prompt was not read: " + e.getMessage());
-            }
-        }
+    /** Ends the call that is going on and returns its endpoint. */
+    Endpoint takeCall() {
+        Endpoint endpoint = mCall.endpoint();
+        mCall = null;
+        return endpoint;
+    }
 
-        private void answered(Endpoint endpoint) {
-            long now = MonotonicClock.nowMillis();
-            if (mRoute.kind().isStreaming() && mAnswer.isSuccess()) {
-                if (mStreaming && mEvents.endsWithWholeEvent()) {
-                    mContext.placement().succeeded(endpoint, now);
-                    finish("served", endpoint.name());
-                    mExchange.end();
-                } else {
-                    broken(endpoint, "the stream ended early");
-                }
-                return;
-            }
-            if (!mAnswer.signed()) {
-                broken(endpoint, "an unsigned answer with status " + mAnswer.status());
-                return;
-            }
-            if (mAnswer.isServerError()) {
-                mContext.placement().failed(endpoint, now);
-                mRan++;
-                if (mayRunAgain() && mayRepeat(now)) {
-                    countRun();
-                    mRepeatPaid = true;
-                    tryElsewhere(endpoint, "the endpoint failed with " + mAnswer.status());
-                    return;
-                }
-            } else {
-                mContext.placement().succeeded(endpoint, now);
-            }
-            countRun();
-            if (mAnswer.status() == Refusal.NOT_RUN.status()) {
-                // The endpoint does not promise that it has not run, so neither is promised here.
-                refuse(Refusal.OUTCOME_UNKNOWN, "the endpoint failed with " + mAnswer.status());
-                return;
-            }
-            finish("served", endpoint.name() + " with status " + mAnswer.status());
-            mExchange.respond(
-                    closing(mContext, mContext.wire().answer(mHead)), mBody.toByteArray());
-        }
+    /** Notes that an endpoint may have run the request. */
+    void mayHaveRun() {
+        mMayHaveRun = true;
+    }
 
-        private void countRun() {
-            if (mRoute.kind() != RouteKind.STREAM) {
-                began();
-            }
-        }
+    /** Counts an endpoint that may have run the request against the route's attempts. */
+    void countRun() {
+        mRan++;
+    }
 
-        @Override
-        public void failed(CallFailure failure) {
-            Endpoint endpoint = mCall.endpoint();
-            mCall = null;
-            long now = MonotonicClock.nowMillis();
-            if (!failure.sent()) {
-                mContext.placement().unreachable(endpoint, now);
-                unsent(endpoint, failure);
-                return;
-            }
-            if (!failure.reused()) {
-                mContext.placement().unreachable(endpoint, now);
-            }
-            if (mStage == EndpointCall.Stage.READ_PROMPT) {
-                tryElsewhere(endpoint, failure.reason());
-            } else {
-                mMayHaveRun = true;
-                broken(endpoint, failure.reason());
-            }
+    /** Takes back that a call was counted which never reached its endpoint. */
+    void uncount(EndpointCall.Stage stage) {
+        if (stage == EndpointCall.Stage.READ_PROMPT) {
+            mReads--;
+        } else {
+            mArrivals--;
         }
+    }
 
-        private void unsent(Endpoint endpoint, CallFailure failure) {
-            if (mStage == EndpointCall.Stage.READ_PROMPT) {
-                mReads--;
-            } else {
-                mArrivals--;
-            }
-            tryElsewhere(endpoint, failure.reason());
-        }
+    /** Notes that the next run has been allowed by the budget. */
+    void payRepeat() {
+        mRepeatPaid = true;
+    }
 
-        private void broken(Endpoint endpoint, String reason) {
-            long now = MonotonicClock.nowMillis();
-            mContext.placement().failed(endpoint, now);
-            mRan++;
-            if (mayRunAgain() && mayRepeat(now)) {
-                mRepeatPaid = true;
-                mReadDirectly = mStreaming;
-                tryElsewhere(endpoint, reason);
-            } else {
-                refuseWithoutRun(Refusal.OUTCOME_UNKNOWN, reason);
-            }
-        }
+    /** A stream that goes on elsewhere waits for no reading engine. */
+    void readDirectlyIfStreaming() {
+        mReadDirectly = mStreaming;
+    }
+
+    /** Goes on with a prompt that has been read. */
+    void promptRead(PromptMemory memory) {
+        mMemory = Optional.of(memory);
+        proceed();
+        mContext.lines().of(mService).advance(MonotonicClock.nowMillis());
     }
 
-    private boolean mayRunAgain() {
+    boolean mayRunAgain() {
         return mRoute.mayRunAgain() && mRan < mRoute.attempts();
     }
 
-    private void began() {
+    void began() {
         mTeam.ifPresent(team -> mContext.usage().began(team.name()));
     }
 }
--- a/src/test/java/org/vanilladoor/platform/GatewayTests.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayTests.java
@@ -3,99 +3,24 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.codahale.metrics.MetricRegistry;
-import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.OptionalInt;
-import java.util.SplittableRandom;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.Function;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.vanilladoor.common.ControlLoop;
-import org.vanilladoor.common.ExpiryClock;
-import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.engine.EngineRole;
-import org.vanilladoor.fleet.EndpointDirectory;
-import org.vanilladoor.fleet.Endpoints;
-import org.vanilladoor.fleet.Placement;
-import org.vanilladoor.gateway.Gateway;
-import org.vanilladoor.gateway.GatewayMetrics;
-import org.vanilladoor.gateway.RetryShares;
 import org.vanilladoor.gateway.ServingState;
-import org.vanilladoor.gateway.WorkSink;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
-import org.vanilladoor.route.CallerLimits;
-import org.vanilladoor.route.Route;
-import org.vanilladoor.route.RouteKind;
-import org.vanilladoor.route.ServingConfiguration;
-import org.vanilladoor.route.TeamEntry;
-import org.vanilladoor.transport.FrontServer;
-import org.vanilladoor.transport.Links;
 
 /** Requests through a gateway to endpoints that misbehave, over real connections. */
 @Timeout(30)
-class GatewayTests {
+class GatewayTests extends GatewayFixture {
     private static final String ONE = "id: 1\ndata: one\n\n";
     private static final String TWO = "id: 2\ndata: two\n\n";
-    private static final long TIMEOUT_MILLIS = 1_200;
-    private final ControlLoop mControl = ControlLoop.start("control");
-    private final Links mLinks = Links.start(mControl);
-    private final ServingState mState = ServingState.create();
-    private final EndpointDirectory mDirectory = EndpointDirectory.create();
-    private final List<String> mBegan = new CopyOnWriteArrayList<>();
-    private final List<ScriptedEndpoint> mEndpoints = new ArrayList<>();
-    private FrontServer mFront;
-
-    @BeforeEach
-    void start() throws IOException {
-        mState.accept(configuration(1));
-        mState.confirm(ExpiryClock.nowMillis());
-        mState.endpointsKnown();
-        mState.setMachines(1);
-        Gateway gateway =
-                Gateway.start(
-                        mControl,
-                        mLinks,
-                        new OperatorWireFormat(),
-                        mState,
-                        Placement.create(mDirectory, "a", new SplittableRandom(3)),
-                        new Gateway.Accounts(
-                                RetryShares.create(0.2, 100, 10_000),
-                                mBegan::add,
-                                new IgnoredWork(),
-                                GatewayMetrics.create(new MetricRegistry())),
-                        new SplittableRandom(4));
-        mFront =
-                FrontServer.start(
-                        new HostPort("127.0.0.1", 0),
-                        mControl,
-                        8_192,
-                        () -> 1_000,
-                        gateway::arrived);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        mFront.close();
-        mLinks.close();
-        mControl.close();
-        for (ScriptedEndpoint endpoint : mEndpoints) {
-            endpoint.close();
-        }
-    }
 
     @Test
     void aWholeAnswerIsPassedOnUnchanged() throws Exception {
@@ -343,138 +268,4 @@
         assertThat(answer).startsWith("HTTP/1.1 503");
         assertThat(answer).contains("Retry-After");
     }
-
-    private ScriptedEndpoint endpoint(String name, Function<Received, Answer> script)
-            throws IOException {
-        return endpoint(name, EngineRole.DECODE, script);
-    }
-
-    private ScriptedEndpoint endpoint(
-            String name, EngineRole role, Function<Received, Answer> script) throws IOException {
-        ScriptedEndpoint endpoint = ScriptedEndpoint.start(script);
-        mEndpoints.add(endpoint);
-        mControl.query(
-                        () -> {
-                            mDirectory.put(Endpoints.at(name, "a", role, endpoint.address()));
-                            return null;
-                        })
-                .join();
-        return endpoint;
-    }
-
-    private String call(String method, String path, String body) throws IOException {
-        return callWith(method, path, body, "secret");
-    }
-
-    private String callWith(String method, String path, String body, String key)
-            throws IOException {
-        return send(method, path, body, key, "");
-    }
-
-    private String send(String method, String path, String body, String key, String headers)
-            throws IOException {
-        return exchange(request(method, path, body, key, headers));
-    }
-
-    private String exchange(byte[] request) throws IOException {
-        return exchange(request, passed -> {});
-    }
-
-    /** Returns the answer up to its end, or up to where nothing more comes. */
-    private String exchange(byte[] request, Consumer<String> watcher) throws IOException {
-        try (Socket socket = new Socket("127.0.0.1", mFront.address().port())) {
-            socket.getOutputStream().write(request);
-            // Long enough for every answer, short enough to end the wait on a kept connection.
-            socket.setSoTimeout(2_000);
-            StringBuilder answer = new StringBuilder();
-            try {
-                int next = socket.getInputStream().read();
-                while (next >= 0) {
-                    answer.append((char) next);
-                    watcher.accept(answer.toString());
-                    next = socket.getInputStream().read();
-                }
-            } catch (IOException e) {
-                // A cut answer ends with a reset; what came before it counts.
-                answer.append("");
-            }
-            return answer.toString();
-        }
-    }
-
-    private static byte[] request(
-            String method, String path, String body, String key, String headers) {
-        String text =
-                method
-                        + " "
-                        + path
-                        + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                        + "Vanilladoor-Attempt-Id: id-1\r\nVanilladoor-Deadline-Ms: 5000\r\n"
-                        + "Vanilladoor-Key: "
-                        + key
-                        + "\r\n"
-                        + headers
-                        + (body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n")
-                        + "\r\n"
-                        + body;
-        return text.getBytes(StandardCharsets.US_ASCII);
-    }
-
-    /** Returns the content of a chunked answer. */
-    private static String events(String answer) {
-
-        String body = answer.substring(answer.indexOf("\r\n\r\n") + 4);
-        return body.replaceAll("(?m)(^|\\r\\n)[0-9a-f]+\\r\\n", "").replace("\r\n", "");
-    }
-
-    private static void waitUntil(BooleanSupplier condition) {
-        while (!condition.getAsBoolean()) {
-            Thread.onSpinWait();
-        }
-    }
-
-    private static ServingConfiguration configuration(long version) {
-        return ServingConfiguration.of(
-                version,
-                List.of(
-                        route("/once/", RouteKind.AT_MOST_ONCE, false, false),
-                        route("/safe/", RouteKind.IDEMPOTENT, false, false),
-                        route("/open/", RouteKind.IDEMPOTENT, true, false),
-                        route("/chat/", RouteKind.STREAM, false, false),
-                        route("/resume/", RouteKind.STREAM, false, true)),
-                List.of(),
-                new CallerLimits(8_192, 1_000),
-                Map.of("secret", new TeamEntry("team", OptionalInt.empty())),
-                true);
-    }
-
-    private static Route route(String prefix, RouteKind kind, boolean open, boolean resumable) {
-        return new Route(
-                prefix,
-                "h",
-                prefix,
-                kind,
-                TIMEOUT_MILLIS,
-                150,
-                150,
-                0,
-                List.of(new Route.WeightedService(Endpoints.SERVICE, 1)),
-                kind == RouteKind.AT_MOST_ONCE ? 1 : 2,
-                open,
-                true,
-                resumable);
-    }
-
-    /** Measures nothing. */
-    private static final class IgnoredWork implements WorkSink {
-        @Override
-        public void reading(String service, int change) {
-            // Nothing to measure.
-        }
-
-        @Override
-        public void running(String service, int change) {
-            // Nothing to measure.
-        }
-    }
 }
