--- a/src/main/java/org/vanilladoor/duty/MemberBoard.java
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -18,13 +18,24 @@
  */
 public final class MemberBoard {
     /** Time without a new report after which a process counts as gone, in milliseconds. */
-    public static final long SILENT_MILLIS = 7_000;
+    public static final long SILENT_MILLIS = 12_000;
 
     /**
      * Number of processes to reckon with before any are known; more than a deployment has today.
      */
     public static final int UNKNOWN = 50;
 
+    /** Shortest time between the reports of a process, in milliseconds. */
+    private static final long LEAST_INTERVAL_MILLIS = 1_000;
+
+    /**
+     * Longest time between them; a usage window is sealed six seconds after its end at the latest.
+     */
+    private static final long MOST_INTERVAL_MILLIS = 4_000;
+
+    /** Time between reports for each living process, so that the store's load stops growing. */
+    private static final long INTERVAL_MILLIS_PER_PROCESS = 100;
+
     /** Processes that stand by for the lease; enough for a failure domain and a VM to be lost. */
     private static final int CANDIDATES = 4;
 
@@ -71,6 +82,16 @@
         return mListed ? Math.max(1, livingNames().size()) : UNKNOWN;
     }
 
+    /**
+     * Returns how long a process waits between its reports, in milliseconds.
+     *
+     * <p>A kill loses the counts of that long, which is a smaller part of all the more there are.
+     */
+    public long reportIntervalMillis() {
+        long wanted = living() * INTERVAL_MILLIS_PER_PROCESS;
+        return Math.max(LEAST_INTERVAL_MILLIS, Math.min(MOST_INTERVAL_MILLIS, wanted));
+    }
+
     /** Returns whether this process is one of those that stand by for the lease. */
     public boolean isCandidate() {
         if (!mListed) {
--- a/src/main/java/org/vanilladoor/duty/MemberExchange.java
+++ b/src/main/java/org/vanilladoor/duty/MemberExchange.java
@@ -20,9 +20,6 @@
  * <p>Invariant: one write and one listing are open at a time. Belongs to the control thread.
  */
 final class MemberExchange {
-    /** Time between writes, in milliseconds; a kill loses the counts of at most this long. */
-    private static final long WRITE_MILLIS = 1_000;
-
     /** Time between listings of a process without the lease, in milliseconds. */
     private static final long LIST_MILLIS = 4_000;
 
@@ -67,7 +64,7 @@
 
     void pulse(boolean holder) {
         long now = MonotonicClock.nowMillis();
-        if (!mWriting && now - mWrittenMillis >= WRITE_MILLIS) {
+        if (!mWriting && now - mWrittenMillis >= mBoard.reportIntervalMillis()) {
             write(now);
         }
         long pause = holder ? HOLDER_LIST_MILLIS : LIST_MILLIS;
