Never say "not run" of a request that an endpoint may have run

Read in the diff: a stream that may be resumed, had been sent once and then found no engine with room was refused with 503 instead of 502; and a call could still be sent in the instant between the question whether it was and its end. A request that waits answers by what may have run; an abandoned call is never sent, decided under one lock.

--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -143,7 +143,7 @@
         long latest = mDeadlineMillis - ANSWER_MILLIS - mRoute.objectiveMillis() / 2;
         long now = MonotonicClock.nowMillis();
         if (now >= latest) {
-            refuse(Refusal.OVERLOADED, "no engine has room to read the prompt in time");
+            refuseWithoutRun(Refusal.OVERLOADED, "no engine has room to read the prompt in time");
             return;
         }
         WaitingLine line = mContext.lines().of(mService);
@@ -168,7 +168,7 @@
 
     private void giveUpWaiting() {
         if (!mDone && mWaiting != null) {
-            refuse(Refusal.OVERLOADED, "no engine had room to read the prompt in time");
+            refuseWithoutRun(Refusal.OVERLOADED, "no engine had room to read the prompt in time");
         }
     }
 
@@ -273,7 +273,7 @@
         }
     }
 
-    /** Answers a failure: as not run if that is true, else as unknown. */
+    /** Answers a failure: as the refusal if no endpoint may have run it, else as unknown. */
     void refuseWithoutRun(Refusal refusal, String reason) {
         if (mStreaming) {
             finish("cut", reason);
@@ -297,17 +297,19 @@
         if (mDone) {
             return;
         }
-        boolean running = mCall != null && mCall.stage() == EndpointCall.Stage.RUN;
-        boolean mayHaveRun = mMayHaveRun || (running && mCall.isSent());
         if (mCall != null) {
+            // Only an abandoned call can't be sent any more while this decides.
             mCall.abandon();
+            mMayHaveRun |= mCall.stage() == EndpointCall.Stage.RUN && mCall.isSent();
             mCall = null;
         }
         if (mStreaming) {
             finish("cut", "the route's time is over");
             mExchange.abort();
         } else {
-            refuse(mayHaveRun ? Refusal.TIMED_OUT : Refusal.OVERLOADED, "the route's time is over");
+            refuse(
+                    mMayHaveRun ? Refusal.TIMED_OUT : Refusal.OVERLOADED,
+                    "the route's time is over");
         }
     }
 
--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -37,7 +37,9 @@
     private Links.Link mLink;
     private boolean mDone;
     private boolean mKeepConnection = true;
-    private volatile boolean mSent;
+    private final Object mSending = new Object();
+    private boolean mSent;
+    private boolean mAbandoned;
 
     OutgoingCall(
             ControlLoop control,
@@ -54,15 +56,24 @@
 
     /** Gives the call up and closes its connection, which ends the work at the other side. */
     public void abandon() {
+        synchronized (mSending) {
+            mAbandoned = true;
+        }
         if (!mDone) {
             mDone = true;
             discardLink();
         }
     }
 
-    /** Returns whether any of the request may have reached the other side. */
+    /**
+     * Returns whether any of the request may have reached the other side.
+     *
+     * <p>Final once the call has been abandoned.
+     */
     public boolean isSent() {
-        return mSent;
+        synchronized (mSending) {
+            return mSent;
+        }
     }
 
     /** Keeps the connection from being used again after the answer. */
@@ -86,7 +97,12 @@
     @Override
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
-        mSent = true;
+        synchronized (mSending) {
+            if (mAbandoned) {
+                throw new ConnectionClosedException("the call was abandoned before it was sent");
+            }
+            mSent = true;
+        }
         boolean empty = !mBody.hasRemaining();
         channel.sendRequest(
                 mRequest, empty ? null : new BasicEntityDetails(mBody.remaining(), null), context);
@@ -184,7 +200,7 @@
         mDone = true;
         boolean reused = mLink != null && mLink.isReused();
         discardLink();
-        mListener.failed(new CallFailure(mSent, reused, reason));
+        mListener.failed(new CallFailure(isSent(), reused, reason));
     }
 
     private void discardLink() {
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -116,6 +117,14 @@
         return exchange(request(method, path, body, key, headers));
     }
 
+    String sendUnchecked(String path, String headers) {
+        try {
+            return send("POST", path, "body", "secret", headers);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     String exchange(byte[] request) throws IOException {
         return exchange(request, passed -> {});
     }
--- a/src/test/java/org/vanilladoor/platform/GatewayTests.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayTests.java
@@ -5,6 +5,7 @@
 
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
@@ -217,6 +218,31 @@
                 .isEqualTo(reader.address() + "/h1");
     }
 
+    @Test
+    void aRequestThatMayHaveRunIsNotSaidToHaveNotRunWhenNoEngineHasRoomLater() throws Exception {
+        AtomicInteger reads = new AtomicInteger();
+        ScriptedEndpoint reader =
+                endpoint(
+                        "reader",
+                        EngineRole.PREFILL,
+                        request ->
+                                reads.incrementAndGet() == 1
+                                        ? ScriptedEndpoint.answer(
+                                                request, 200, "", "{\"kv_handle\":\"h1\"}")
+                                        : new Answer("", End.HANG));
+        ScriptedEndpoint runner =
+                endpoint("runner", request -> new Answer("", End.CLOSE_WHEN_TOLD));
+        String prompt = "Vanilladoor-Token-Count: 9000,2\r\n";
+        CompletableFuture<String> answer =
+                CompletableFuture.supplyAsync(() -> sendUnchecked("/resume/x", prompt));
+        waitUntil(() -> runner.received().size() == 1);
+        CompletableFuture.runAsync(() -> sendUnchecked("/resume/x", prompt));
+        CompletableFuture.runAsync(() -> sendUnchecked("/resume/x", prompt));
+        waitUntil(() -> reader.received().size() == 3);
+        runner.tellToClose();
+        assertThat(answer.get()).startsWith("HTTP/1.1 502");
+    }
+
     @Test
     void aSilentEndpointEndsInATimeOutThatPromisesNothing() throws Exception {
         ScriptedEndpoint endpoint = endpoint("e", request -> new Answer("", End.HANG));
