--- a/src/main/java/org/vanilladoor/duty/Duties.java
+++ b/src/main/java/org/vanilladoor/duty/Duties.java
@@ -28,7 +28,7 @@
     private final UsageLedger mLedger;
     private final MemberBoard mBoard;
     private final MemberExchange mExchange;
-    private final LeaseHold mLease;
+    private final KeptLease mLease;
     private final UsageDuty mUsage;
     private final RoleDuty mRoles;
     private final SizeDuty mSize;
@@ -51,8 +51,8 @@
                         new MemberExchange.Counts(mLedger, mMeter, mWallTime),
                         new MemberExchange.Self(object, machine, incarnation));
         LeaseCore core = LeaseCore.create(object, LeaseTiming.standard());
-        mLease = new LeaseHold(machine, core, LeaseKeeper.start(control, mStore, LEASE, core));
-        mUsage = new UsageDuty(mStore, around.orders(), mBoard, mLedger, mWallTime);
+        mLease = new KeptLease(machine, core, LeaseKeeper.start(control, mStore, LEASE, core));
+        mUsage = new UsageDuty(mStore, around.orders(), mBoard, mLedger, mWallTime::nowMillis);
         mRoles = new RoleDuty(control, around.orders(), around.directory(), mBoard, around.state());
         mSize = new SizeDuty(around.orders(), around.directory(), mBoard, around.state());
         control.repeat(PULSE, () -> pulse(around.state()));
--- a/src/main/java/org/vanilladoor/duty/LeaseHold.java
+++ b/src/main/java/org/vanilladoor/duty/KeptLease.java
@@ -4,16 +4,16 @@
 import org.vanilladoor.authority.LeaseKeeper;
 
 /**
- * This process's claim to the fleet's lease.
+ * The fleet's lease as this process keeps or waits for it.
  *
  * <p>Belongs to the control thread.
  */
-final class LeaseHold {
+final class KeptLease implements FleetLease {
     private final String mMachine;
     private final LeaseCore mCore;
     private final LeaseKeeper mKeeper;
 
-    LeaseHold(String machine, LeaseCore core, LeaseKeeper keeper) {
+    KeptLease(String machine, LeaseCore core, LeaseKeeper keeper) {
         mMachine = machine;
         mCore = core;
         mKeeper = keeper;
@@ -23,13 +23,13 @@
         mCore.want(wanted);
     }
 
-    /** Returns whether acts are allowed now; to be asked right before each. */
-    boolean isHeld() {
+    @Override
+    public boolean isHeld() {
         return mKeeper.isHeld();
     }
 
-    /** Returns in whose name acts are done. */
-    Authority authority() {
+    @Override
+    public Authority authority() {
         return new Authority(mMachine, mCore.term());
     }
 }
--- a/src/main/java/org/vanilladoor/duty/RoleDuty.java
+++ b/src/main/java/org/vanilladoor/duty/RoleDuty.java
@@ -56,7 +56,7 @@
         mState = state;
     }
 
-    void pulse(LeaseHold lease) {
+    void pulse(FleetLease lease) {
         long now = MonotonicClock.nowMillis();
         if (lease.authority().term() != mTerm) {
             mTerm = lease.authority().term();
@@ -76,7 +76,7 @@
                                         .forEach(service -> change(service, lease, now)));
     }
 
-    private void change(ServiceDefinition service, LeaseHold lease, long now) {
+    private void change(ServiceDefinition service, FleetLease lease, long now) {
         Work work = mBoard.work().getOrDefault(service.name(), Work.NONE);
         for (FleetPlan.RoleChange change :
                 mPlan.decide(service, mDirectory.of(service.name()), work, now)) {
@@ -101,7 +101,7 @@
     }
 
     /** Tells all VMs first, so that they send nothing there, and orders once they have heard. */
-    private void order(FleetPlan.RoleChange change, LeaseHold lease) {
+    private void order(FleetPlan.RoleChange change, FleetLease lease) {
         Endpoint engine = change.engine();
         mOrders.announce(engine, change.role(), true)
                 .thenRun(
@@ -111,7 +111,7 @@
                 .exceptionally(failure -> giveUp(engine, failure));
     }
 
-    private void orderAnnounced(Endpoint engine, EngineRole role, LeaseHold lease) {
+    private void orderAnnounced(Endpoint engine, EngineRole role, FleetLease lease) {
         mOrders.report(engine)
                 .thenCompose(
                         report -> {
--- a/src/main/java/org/vanilladoor/duty/SizeDuty.java
+++ b/src/main/java/org/vanilladoor/duty/SizeDuty.java
@@ -33,7 +33,7 @@
         mState = state;
     }
 
-    void pulse(LeaseHold lease) {
+    void pulse(FleetLease lease) {
         if (lease.authority().term() != mTerm) {
             mTerm = lease.authority().term();
             mSizes.clear();
@@ -47,7 +47,7 @@
                                         .forEach(service -> order(service, lease)));
     }
 
-    private void order(ServiceDefinition service, LeaseHold lease) {
+    private void order(ServiceDefinition service, FleetLease lease) {
         if (mOpen) {
             return;
         }
@@ -59,7 +59,7 @@
                 .ifPresent(order -> send(order, size, work, lease));
     }
 
-    private void send(FleetOrders.FleetOrder order, FleetSize size, Work work, LeaseHold lease) {
+    private void send(FleetOrders.FleetOrder order, FleetSize size, Work work, FleetLease lease) {
         if (!lease.isHeld()) {
             return;
         }
--- a/src/main/java/org/vanilladoor/duty/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/duty/UsageDuty.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.LongSupplier;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.provider.ObjectStore;
@@ -35,7 +36,7 @@
     private final FleetOrders mOrders;
     private final MemberBoard mBoard;
     private final UsageLedger mLedger;
-    private final WallTime mWallTime;
+    private final LongSupplier mWallMillis;
     private final Set<Long> mReported = new HashSet<>();
     private boolean mBusy;
 
@@ -44,20 +45,20 @@
             FleetOrders orders,
             MemberBoard board,
             UsageLedger ledger,
-            WallTime wallTime) {
+            LongSupplier wallMillis) {
         mStore = store;
         mOrders = orders;
         mBoard = board;
         mLedger = ledger;
-        mWallTime = wallTime;
+        mWallMillis = wallMillis;
     }
 
     /** Reports the oldest window that is due, if one is. */
-    void pulse(LeaseHold lease) {
+    void pulse(FleetLease lease) {
         if (mBusy) {
             return;
         }
-        long wall = mWallTime.nowMillis();
+        long wall = mWallMillis.getAsLong();
         long current = mLedger.windowAt(wall);
         mReported.removeIf(window -> window < current - 2L * LOOK_BACK);
         for (long window = current - LOOK_BACK; window < current; window++) {
@@ -77,7 +78,7 @@
         return wallMillis >= end + LATEST_MILLIS || (wallMillis >= end + SETTLE_MILLIS && complete);
     }
 
-    private void seal(long window, Map<String, Long> counts, LeaseHold lease) {
+    private void seal(long window, Map<String, Long> counts, FleetLease lease) {
         mBusy = true;
         String object = KIND + window;
         mStore.write(object, ObjectStore.ABSENT, Json.write(counts))
@@ -121,7 +122,8 @@
         return new TreeMap<>(Json.read(content, new TypeReference<Map<String, Long>>() {}));
     }
 
-    private CompletableFuture<Void> report(long window, Map<String, Long> counts, LeaseHold lease) {
+    private CompletableFuture<Void> report(
+            long window, Map<String, Long> counts, FleetLease lease) {
         if (!lease.isHeld()) {
             return CompletableFuture.failedFuture(new IllegalStateException("the lease is lost"));
         }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -118,7 +118,7 @@
         mCallers = listen(settings.callerAddress(), mGateway::arrived);
         mMetricsPage = MetricsPage.create(registry);
         mOperators = listen(settings.readinessAddress(), this::answerOperators);
-        mOperators.alsoListen(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
+        listenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
         mControl.repeat(TIDY, () -> tidy(directory, placement));
     }
 
--- a/src/test/java/org/vanilladoor/platform/GatewayTests.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayTests.java
@@ -125,6 +125,19 @@
         assertThat(call("POST", "/once/x", "body")).startsWith("HTTP/1.1 502");
     }
 
+    @Test
+    void aSuccessWithoutItsEndpointsProofIsNotPassedOn() throws Exception {
+        endpoint(
+                "e",
+                request ->
+                        new Answer(
+                                ScriptedEndpoint.answer(request, 200, "", "hi")
+                                        .text()
+                                        .replace("Vanilladoor-Stamp: proof\r\n", ""),
+                                End.KEEP));
+        assertThat(call("POST", "/once/x", "body")).startsWith("HTTP/1.1 502");
+    }
+
     @Test
     void anAnswerThatIsCutShortDoesNotLookComplete() throws Exception {
         endpoint(
