--- a/src/main/java/org/vanilladoor/duty/RoleDuty.java
+++ b/src/main/java/org/vanilladoor/duty/RoleDuty.java
@@ -1,8 +1,9 @@
 package org.vanilladoor.duty;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.MonotonicClock;
@@ -39,7 +40,7 @@
     private final MemberBoard mBoard;
     private final ServingState mState;
     private final FleetPlan mPlan = FleetPlan.create();
-    private final Set<String> mOpen = new HashSet<>();
+    private final Map<String, EngineRole> mOpen = new HashMap<>();
     private long mHeldSinceMillis = Long.MAX_VALUE;
     private long mTerm;
 
@@ -78,9 +79,8 @@
 
     private void change(ServiceDefinition service, FleetLease lease, long now) {
         Work work = mBoard.work().getOrDefault(service.name(), Work.NONE);
-        for (FleetPlan.RoleChange change :
-                mPlan.decide(service, mDirectory.of(service.name()), work, now)) {
-            if (mOpen.add(change.engine().name())) {
+        for (FleetPlan.RoleChange change : mPlan.decide(service, endpoints(service), work, now)) {
+            if (mOpen.putIfAbsent(change.engine().name(), change.role()) == null) {
                 mPlan.ordered(change, now);
                 EventLog.write(
                         "role",
@@ -100,6 +100,17 @@
         }
     }
 
+    /** Returns the endpoints; those whose change is decided and not yet heard of change already. */
+    private List<Endpoint> endpoints(ServiceDefinition service) {
+        return mDirectory.of(service.name()).stream()
+                .map(
+                        endpoint ->
+                                mOpen.containsKey(endpoint.name())
+                                        ? endpoint.changingTo(mOpen.get(endpoint.name()))
+                                        : endpoint)
+                .toList();
+    }
+
     /** Tells all VMs first, so that they send nothing there, and orders once they have heard. */
     private void order(FleetPlan.RoleChange change, FleetLease lease) {
         Endpoint engine = change.engine();
@@ -192,7 +203,7 @@
     private void settleForerunners() {
         mDirectory.all().stream()
                 .filter(Endpoint::changing)
-                .filter(engine -> mOpen.add(engine.name()))
+                .filter(engine -> mOpen.putIfAbsent(engine.name(), engine.role()) == null)
                 .forEach(this::settle);
     }
 }
--- a/src/main/java/org/vanilladoor/fleet/Endpoint.java
+++ b/src/main/java/org/vanilladoor/fleet/Endpoint.java
@@ -40,6 +40,21 @@
         Objects.requireNonNull(role, "role");
     }
 
+    /** Returns this endpoint as it is while it changes to the given role. */
+    public Endpoint changingTo(EngineRole next) {
+        return new Endpoint(
+                name,
+                service,
+                address,
+                failureDomain,
+                slots,
+                leaving,
+                next,
+                true,
+                reclaimable,
+                bornMillis);
+    }
+
     /** Returns whether it takes new work. */
     public boolean isUsable() {
         return !leaving && !changing;
--- a/src/test/java/org/vanilladoor/fleet/Endpoints.java
+++ b/src/test/java/org/vanilladoor/fleet/Endpoints.java
@@ -34,17 +34,7 @@
     }
 
     public static Endpoint changing(Endpoint endpoint, EngineRole role) {
-        return new Endpoint(
-                endpoint.name(),
-                endpoint.service(),
-                endpoint.address(),
-                endpoint.failureDomain(),
-                endpoint.slots(),
-                endpoint.leaving(),
-                role,
-                true,
-                endpoint.reclaimable(),
-                endpoint.bornMillis());
+        return endpoint.changingTo(role);
     }
 
     public static Endpoint reclaimable(Endpoint endpoint) {
