Count rejected readings of a prompt against the budget for repeats

Cause: a reading that an engine rejected was free, and a run after it too, so each request leaked one call once the budget was used up. Ruled out: the number of VMs reckoned with, and calls that never left. One count of calls sent against calls paid replaces three counters; free are the first call and the first reading that is accepted. GatewayBudgetTests: the rejected reading failed before.

--- a/src/main/java/org/vanilladoor/gateway/CallHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/CallHandler.java
@@ -172,7 +172,7 @@
     }
 
     private void unsent(Endpoint endpoint, CallFailure failure) {
-        mProcess.uncount(mStage);
+        mProcess.uncount();
         mProcess.tryElsewhere(endpoint, failure.reason());
     }
 
--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -53,10 +53,10 @@
     private EndpointExchange mCall;
     private Optional<PromptMemory> mMemory = Optional.empty();
     private int mCalls;
-    private int mReads;
-    private int mArrivals;
+    private int mSent;
+    private int mPaid;
     private int mRan;
-    private boolean mRepeatPaid;
+    private boolean mReadAccepted;
     private boolean mMayHaveRun;
     private boolean mReading;
     private boolean mReadDirectly;
@@ -179,12 +179,11 @@
         if (reader.isEmpty()) {
             return false;
         }
-        if (mReads > 0 && !mayRepeat(now)) {
+        if (!isPaidFor(now)) {
             mReadDirectly = true;
             proceed();
             return true;
         }
-        mReads++;
         send(reader.get(), EndpointCall.Stage.READ_PROMPT);
         EndpointExchange call = mCall;
         long patience = READ_PATIENCE_OBJECTIVES * mRoute.objectiveMillis();
@@ -208,18 +207,17 @@
             refuseWithoutRun(Refusal.NO_ENDPOINT, "no endpoint serves it");
             return;
         }
-        if (mArrivals > 0 && !mRepeatPaid && !mayRepeat(now)) {
+        if (!isPaidFor(now)) {
             refuseWithoutRun(Refusal.NOT_RUN, "the budget for repeats is used up");
             return;
         }
-        mArrivals++;
-        mRepeatPaid = false;
         mEvents.dropPartial();
         send(runner.get(), EndpointCall.Stage.RUN);
     }
 
     private void send(Endpoint endpoint, EndpointCall.Stage stage) {
         mCalls++;
+        mSent++;
         long now = MonotonicClock.nowMillis();
         EndpointCall call =
                 new EndpointCall(
@@ -243,6 +241,24 @@
                         new CallHandler(mContext, this, stage));
     }
 
+    /**
+     * Returns whether the next call is within the budget for repeats, and takes what it needs of
+     * it.
+     *
+     * <p>Free are the first call and the first reading of the prompt that an engine accepts; calls
+     * that are rejected count.
+     */
+    private boolean isPaidFor(long nowMillis) {
+        int needed = mSent - (mReadAccepted ? 1 : 0);
+        while (mPaid < needed) {
+            if (!mayRepeat(nowMillis)) {
+                return false;
+            }
+            mPaid++;
+        }
+        return true;
+    }
+
     boolean mayRepeat(long nowMillis) {
         return mCalls < MOST_CALLS
                 && mContext.retries()
@@ -392,17 +408,13 @@
     }
 
     /** Takes back that a call was counted which never reached its endpoint. */
-    void uncount(EndpointCall.Stage stage) {
-        if (stage == EndpointCall.Stage.READ_PROMPT) {
-            mReads--;
-        } else {
-            mArrivals--;
-        }
+    void uncount() {
+        mSent--;
     }
 
     /** Notes that the next run has been allowed by the budget. */
     void payRepeat() {
-        mRepeatPaid = true;
+        mPaid++;
     }
 
     /** A stream that goes on elsewhere waits for no reading engine. */
@@ -412,6 +424,7 @@
 
     /** Goes on with a prompt that has been read. */
     void promptRead(PromptMemory memory) {
+        mReadAccepted = true;
         mMemory = Optional.of(memory);
         proceed();
         mContext.lines().of(mService).advance(MonotonicClock.nowMillis());
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -63,7 +63,7 @@
                         mState,
                         Placement.create(mDirectory, "a", new SplittableRandom(3)),
                         new Gateway.Accounts(
-                                RetryShares.create(0.2, 100, 10_000),
+                                retries(),
                                 mBegan::add,
                                 new IgnoredWork(),
                                 GatewayMetrics.create(new MetricRegistry())),
@@ -87,6 +87,10 @@
         }
     }
 
+    RetryShares retries() {
+        return RetryShares.create(0.2, 100, 10_000);
+    }
+
     ScriptedEndpoint endpoint(String name, Function<Received, Answer> script) throws IOException {
         return endpoint(name, EngineRole.DECODE, script);
     }
