--- a/src/main/java/org/vanilladoor/dispatch/DispatchCore.java
+++ b/src/main/java/org/vanilladoor/dispatch/DispatchCore.java
@@ -8,7 +8,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.vanilladoor.configuration.Targets;
 import org.vanilladoor.configuration.Team;
 import org.vanilladoor.endpoint.LoadReport;
@@ -35,6 +37,7 @@
     private final Map<String, DemandMeter> mDemand = new HashMap<>();
     private final Map<String, Decision.Assigned> mAssigned = new HashMap<>();
     private final List<Decision> mDecided = new ArrayList<>();
+    private boolean mReported;
     private Targets mTargets = Targets.empty();
     private long mNextLateCheckMillis = Long.MIN_VALUE;
 
@@ -76,9 +79,14 @@
                 .forEach(EndpointState::leave);
     }
 
-    /** Takes in an endpoint's report of its load. */
-    public void report(String endpoint, LoadReport report) {
-        known(endpoint).ifPresent(state -> state.report(report));
+    /**
+     * Takes in an endpoint's report of its load.
+     *
+     * @param ageMillis time since the endpoint took it
+     */
+    public void report(String endpoint, LoadReport report, long ageMillis) {
+        known(endpoint).ifPresent(state -> state.report(report, ageMillis));
+        mReported = true;
     }
 
     /** Stops or allows new work at an endpoint. */
@@ -93,6 +101,7 @@
 
     /** Takes a call in; its decision comes from {@link #decide}. */
     public void submit(Call call) {
+        estimateOthers();
         FairQueue queue = queue(call.pool());
         boolean within = mRetryBudget.admit(call.team(), call.repeat());
         if (!within && !hasSpareRoom(call.pool())) {
@@ -112,6 +121,7 @@
 
     /** Decides what can be decided now and returns it, oldest decision first. */
     public List<Decision> decide(long nowMillis) {
+        estimateOthers();
         boolean lateCheck = nowMillis >= mNextLateCheckMillis;
         mNextLateCheckMillis = lateCheck ? nowMillis + LATE_CHECK_MILLIS : mNextLateCheckMillis;
         for (Map.Entry<String, FairQueue> entry : mQueues.entrySet()) {
@@ -185,6 +195,29 @@
                         .allMatch(state -> SPARE_PARTS * state.requests() < state.maximumStreams());
     }
 
+    private void estimateOthers() {
+        if (!mReported) {
+            return;
+        }
+        mReported = false;
+        Map<List<Object>, List<EndpointState>> alike =
+                mEndpoints.values().stream()
+                        .filter(state -> !state.isLeaving())
+                        .collect(
+                                Collectors.groupingBy(
+                                        state ->
+                                                List.of(state.description().pool(), state.role())));
+        for (List<EndpointState> states : alike.values()) {
+            double requests = mean(states, EndpointState::reportedRequests);
+            double tokens = mean(states, EndpointState::reportedPromptTokens);
+            states.forEach(state -> state.estimateOthers(requests, tokens));
+        }
+    }
+
+    private static double mean(List<EndpointState> states, ToDoubleFunction<EndpointState> value) {
+        return states.stream().mapToDouble(value).average().orElse(0);
+    }
+
     private boolean isGone(EndpointState state, Set<String> listed) {
         return !listed.contains(state.description().name()) && state.ownRequests() == 0;
     }
--- a/src/main/java/org/vanilladoor/dispatch/EndpointState.java
+++ b/src/main/java/org/vanilladoor/dispatch/EndpointState.java
@@ -20,12 +20,19 @@
     private static final int FAILURES_TO_AVOID = 3;
     private static final long AVOID_MILLIS = 2_000;
     private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    /** Age at which a report has lost most of its worth; about as long as a stream lasts. */
+    private static final double REPORT_LIFE_MILLIS = 2_000;
+
     private EndpointDescription mDescription;
     private EngineRole mRole = EngineRole.MIXED;
     private boolean mChanging;
     private boolean mLeaving;
     private boolean mDrained;
     private int mMaximumStreams = ASSUMED_STREAMS;
+    private int mReportedRequests;
+    private long mReportedPromptTokens;
+    private double mReportWeight = 1;
     private int mOthersRequests;
     private long mOthersPromptTokens;
     private double mBestPrefillRate = EngineProfile.standard().prefillTokensPerSecond();
@@ -49,8 +56,8 @@
         mLeaving = mLeaving || description.leaving();
     }
 
-    /** Takes in a lagging report, without the part of it that is this process's own work. */
-    void report(LoadReport report) {
+    /** Takes in a lagging report; {@link #estimateOthers} makes use of it. */
+    void report(LoadReport report, long ageMillis) {
         if (report.role() != mRole || report.changing()) {
             mCacheHints.clear();
         }
@@ -58,8 +65,33 @@
         mChanging = report.changing();
         mLeaving = mLeaving || report.leaving();
         mMaximumStreams = Math.max(1, report.maximumStreams());
-        mOthersRequests = Math.max(0, report.requests() - ownRequests());
-        mOthersPromptTokens = Math.max(0, report.waitingPromptTokens() - ownPromptTokens());
+        mReportedRequests = report.requests();
+        mReportedPromptTokens = report.waitingPromptTokens();
+        mReportWeight = Math.exp(-Math.max(0, ageMillis) / REPORT_LIFE_MILLIS);
+    }
+
+    /**
+     * Estimates the work of other processes from the report, as far as its age allows, and from
+     * what like engines hold on average. Without the average every process would send its work to
+     * the engine that the same old report shows idle.
+     */
+    void estimateOthers(double meanRequests, double meanPromptTokens) {
+        double requests = weighted(mReportedRequests, ownRequests(), meanRequests);
+        double tokens = weighted(mReportedPromptTokens, ownPromptTokens(), meanPromptTokens);
+        mOthersRequests = (int) Math.round(requests);
+        mOthersPromptTokens = Math.round(tokens);
+    }
+
+    private double weighted(double reported, double own, double mean) {
+        return Math.max(0, mean + mReportWeight * (reported - own - mean));
+    }
+
+    int reportedRequests() {
+        return mReportedRequests;
+    }
+
+    long reportedPromptTokens() {
+        return mReportedPromptTokens;
     }
 
     void drain(boolean drained) {
--- a/src/main/java/org/vanilladoor/entry/Entry.java
+++ b/src/main/java/org/vanilladoor/entry/Entry.java
@@ -269,9 +269,10 @@
         mOpenCalls.endWithdrawn(configuration.keys());
     }
 
-    private void loadReported(String endpoint, LoadReport report) {
+    private void loadReported(String endpoint, LoadReport report, long takenMillis) {
         boolean news = report.leaving() && !isKnownToLeave(endpoint);
-        mContext.core().report(endpoint, report);
+        long ageMillis = MonotonicClock.nowMillis() - takenMillis;
+        mContext.core().report(endpoint, report, ageMillis);
         if (news) {
             mNetwork.spreadNews();
         }
--- a/src/main/java/org/vanilladoor/entry/LoadBoard.java
+++ b/src/main/java/org/vanilladoor/entry/LoadBoard.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
 import org.vanilladoor.endpoint.LoadReport;
 import org.vanilladoor.generated.LoadDigest;
 
@@ -17,14 +16,14 @@
 final class LoadBoard {
     private static final int PASSED_ON_MILLIS = 1_500;
     private final Map<String, Dated> mReports = new TreeMap<>();
-    private final BiConsumer<String, LoadReport> mListener;
+    private final Listener mListener;
 
-    private LoadBoard(BiConsumer<String, LoadReport> listener) {
+    private LoadBoard(Listener listener) {
         mListener = listener;
     }
 
     /** Returns an empty board that tells the listener of each younger report. */
-    static LoadBoard create(BiConsumer<String, LoadReport> listener) {
+    static LoadBoard create(Listener listener) {
         return new LoadBoard(listener);
     }
 
@@ -32,7 +31,7 @@
         Dated before = mReports.get(endpoint);
         if (before == null || takenMillis > before.takenMillis()) {
             mReports.put(endpoint, new Dated(report, takenMillis));
-            mListener.accept(endpoint, report);
+            mListener.reported(endpoint, report, takenMillis);
         }
     }
 
@@ -65,6 +64,12 @@
         mReports.keySet().retainAll(endpoints);
     }
 
+    /** Is told of each younger report. */
+    interface Listener {
+        /** Takes a report with its time on the monotonic clock. */
+        void reported(String endpoint, LoadReport report, long takenMillis);
+    }
+
     /** A report with the time at which it was taken. */
     private record Dated(LoadReport report, long takenMillis) {}
 }
--- a/src/main/java/org/vanilladoor/measure/DecisionSlope.java
+++ b/src/main/java/org/vanilladoor/measure/DecisionSlope.java
@@ -61,7 +61,8 @@
                 each ->
                         core.report(
                                 each.name(),
-                                new LoadReport(EngineRole.MIXED, false, 5, 100, 32, "", false)));
+                                new LoadReport(EngineRole.MIXED, false, 5, 100, 32, "", false),
+                                0));
         List<Decision> open = new ArrayList<>();
         long begin = System.nanoTime();
         for (int i = 0; i < CALLS; i++) {
--- a/src/main/java/org/vanilladoor/replay/Replay.java
+++ b/src/main/java/org/vanilladoor/replay/Replay.java
@@ -225,7 +225,7 @@
                 if (engine.isGone()) {
                     core.leave(engine.description().name());
                 } else {
-                    core.report(engine.description().name(), report);
+                    core.report(engine.description().name(), report, mLagMillis);
                 }
             }
         }
--- a/src/test/java/org/vanilladoor/dispatch/DispatchCoreTests.java
+++ b/src/test/java/org/vanilladoor/dispatch/DispatchCoreTests.java
@@ -50,7 +50,7 @@
         @Test
         void thatIsLeavingGetsNoNewWork() {
             mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
-            mCore.report("a", report(8, true));
+            mCore.report("a", report(8, true), 0);
             assertThat(submit(call("t", CHAT, false, 0), 0)).isEmpty();
         }
 
@@ -105,12 +105,43 @@
         }
     }
 
+    @Nested
+    class AReport {
+        private static final int CALLS = 60;
+
+        private long callsAtTheEngineReportedIdle(long ageMillis) {
+            mCore.setEndpoints(
+                    List.of(engine("idle", "muscat-1", false), engine("busy", "muscat-1", false)));
+            mCore.report("idle", load(0), ageMillis);
+            mCore.report("busy", load(40), ageMillis);
+            for (int i = 0; i < CALLS; i++) {
+                submit(call("t", CHAT, false, 0), 0);
+            }
+            return mCore.ownRequests("idle");
+        }
+
+        private LoadReport load(int requests) {
+            return new LoadReport(
+                    EngineRole.MIXED, false, requests, requests * 100L, 1_000, "", false);
+        }
+
+        @Test
+        void thatIsFreshSendsWorkToTheIdleEngine() {
+            assertThat(callsAtTheEngineReportedIdle(0)).isAtLeast(CALLS * 3 / 4);
+        }
+
+        @Test
+        void thatIsOldLeavesWorkSpreadOverAllEngines() {
+            assertThat(callsAtTheEngineReportedIdle(10_000)).isAtMost(CALLS * 6 / 10);
+        }
+    }
+
     @Nested
     class ACall {
         @Test
         void waitsForRoomAndIsThenAssigned() {
             mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
-            mCore.report("a", report(1, false));
+            mCore.report("a", report(1, false), 0);
             Call first = call("t", CHAT, false, 0);
             submit(first, 0);
             assertThat(submit(call("t", CHAT, false, 1), 1)).isEmpty();
@@ -143,7 +174,7 @@
         @Test
         void areHeldToABudgetWhileFirstTriesWaitForRoom() {
             mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
-            mCore.report("a", report(1, false));
+            mCore.report("a", report(1, false), 0);
             submit(call("t", CHAT, false, 0), 0);
             int refused = 0;
             for (int i = 0; i < 100; i++) {
@@ -158,7 +189,7 @@
         @Test
         void areServedBeyondTheBudgetWhileThereIsRoom() {
             mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
-            mCore.report("a", report(1_000, false));
+            mCore.report("a", report(1_000, false), 0);
             for (int i = 0; i < 100; i++) {
                 assertThat(submit(call("t", CHAT, true, i), i).get(0))
                         .isInstanceOf(Decision.Assigned.class);
@@ -180,7 +211,7 @@
                             List.of(),
                             Targets.Limits.standard()));
             mCore.setEndpoints(List.of(engine("a", "muscat-1", false)));
-            mCore.report("a", report(1, false));
+            mCore.report("a", report(1, false), 0);
             for (int i = 0; i < 100; i++) {
                 mCore.submit(call("large", CHAT, false, 0));
                 mCore.submit(call("small", CHAT, false, 0));
--- a/src/test/java/org/vanilladoor/dispatch/DispatchFuzzTests.java
+++ b/src/test/java/org/vanilladoor/dispatch/DispatchFuzzTests.java
@@ -139,7 +139,8 @@
                             detail % 5_000,
                             1 + detail % 8,
                             "",
-                            leaving));
+                            leaving),
+                    detail % 3_000);
             if (leaving && mCore.endpoint(endpoint).isPresent()) {
                 mLeaving.add(endpoint);
             }
