--- a/src/main/java/org/vanilladoor/gateway/CallHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/CallHandler.java
@@ -122,9 +122,9 @@
         if (mAnswer.isServerError()) {
             mContext.placement().failed(endpoint, now);
             mProcess.countRun();
-            if (mProcess.mayRunAgain() && mProcess.mayRepeat(now)) {
+            if (mProcess.mayRunAgain() && mProcess.budget().tryRepeat(now)) {
                 countBegun();
-                mProcess.payRepeat();
+                mProcess.budget().payRepeat();
                 mProcess.tryElsewhere(endpoint, "the endpoint failed with " + mAnswer.status());
                 return;
             }
@@ -172,7 +172,7 @@
     }
 
     private void unsent(Endpoint endpoint, CallFailure failure) {
-        mProcess.uncount();
+        mProcess.budget().uncount();
         mProcess.tryElsewhere(endpoint, failure.reason());
     }
 
@@ -180,8 +180,8 @@
         long now = MonotonicClock.nowMillis();
         mContext.placement().failed(endpoint, now);
         mProcess.countRun();
-        if (mProcess.mayRunAgain() && mProcess.mayRepeat(now)) {
-            mProcess.payRepeat();
+        if (mProcess.mayRunAgain() && mProcess.budget().tryRepeat(now)) {
+            mProcess.budget().payRepeat();
             mProcess.readDirectlyIfStreaming();
             mProcess.tryElsewhere(endpoint, reason);
         } else {
--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -33,8 +33,8 @@
     /** Time that an answer needs beyond its endpoint's work, in milliseconds. */
     private static final long ANSWER_MILLIS = 30;
 
-    /** Calls after which a request is given up, whatever the budget says. */
-    private static final int MOST_CALLS = 5;
+    /** Longest time after which a caller is told to come back; lines are shorter than that. */
+    private static final long MOST_RETRY_MILLIS = 5_000;
 
     private static final int LOWEST_URGENCY = 9;
     private final GatewayContext mContext;
@@ -46,17 +46,14 @@
     private final long mArrivedMillis = MonotonicClock.nowMillis();
     private final long mDeadlineMillis;
     private final RequestLog mLog;
+    private final CallBudget mBudget;
     private final Set<String> mExcluded = new HashSet<>();
     private final EventAssembler mEvents = EventAssembler.create();
     private Runnable mOnEnd = () -> {};
     private WaitingLine.Waiting mWaiting;
     private EndpointExchange mCall;
     private Optional<PromptMemory> mMemory = Optional.empty();
-    private int mCalls;
-    private int mSent;
-    private int mPaid;
     private int mRan;
-    private boolean mReadAccepted;
     private boolean mMayHaveRun;
     private boolean mReading;
     private boolean mReadDirectly;
@@ -76,6 +73,7 @@
         mRoute = route;
         mTeam = team;
         mService = route.service(context.random().nextDouble());
+        mBudget = new CallBudget(context, mService);
         mDeadlineMillis =
                 mArrivedMillis + Math.min(route.timeoutMillis(), request.patienceMillis());
     }
@@ -146,30 +144,16 @@
             refuseWithoutRun(Refusal.OVERLOADED, "no engine has room to read the prompt in time");
             return;
         }
-        WaitingLine line = mContext.lines().of(mService);
-        mWaiting = line.add(rank(), mArrivedMillis + mRoute.objectiveMillis(), this::leaveLine);
-        mContext.control().delay(Duration.ofMillis(latest - now), this::giveUpWaiting);
+        mWaiting =
+                line().add(
+                                rank(),
+                                mArrivedMillis + mRoute.objectiveMillis(),
+                                latest,
+                                new LineAttempt());
     }
 
-    private boolean leaveLine() {
-        if (mDone) {
-            return true;
-        }
-        if (isReadApart() && !readPrompt()) {
-            return false;
-        }
-        mWaiting = null;
-        if (mCall == null && !mDone) {
-            noteReading(false);
-            run();
-        }
-        return true;
-    }
-
-    private void giveUpWaiting() {
-        if (!mDone && mWaiting != null) {
-            refuseWithoutRun(Refusal.OVERLOADED, "no engine had room to read the prompt in time");
-        }
+    private WaitingLine line() {
+        return mContext.lines().of(mService);
     }
 
     private boolean readPrompt() {
@@ -179,11 +163,12 @@
         if (reader.isEmpty()) {
             return false;
         }
-        if (!isPaidFor(now)) {
+        if (!mBudget.tryPayNext(now)) {
             mReadDirectly = true;
             proceed();
             return true;
         }
+        line().left(now);
         send(reader.get(), EndpointCall.Stage.READ_PROMPT);
         EndpointExchange call = mCall;
         long patience = READ_PATIENCE_OBJECTIVES * mRoute.objectiveMillis();
@@ -207,7 +192,7 @@
             refuseWithoutRun(Refusal.NO_ENDPOINT, "no endpoint serves it");
             return;
         }
-        if (!isPaidFor(now)) {
+        if (!mBudget.tryPayNext(now)) {
             refuseWithoutRun(Refusal.NOT_RUN, "the budget for repeats is used up");
             return;
         }
@@ -216,8 +201,7 @@
     }
 
     private void send(Endpoint endpoint, EndpointCall.Stage stage) {
-        mCalls++;
-        mSent++;
+        mBudget.sent();
         long now = MonotonicClock.nowMillis();
         EndpointCall call =
                 new EndpointCall(
@@ -228,7 +212,7 @@
                         rank(),
                         stage == EndpointCall.Stage.RUN ? mMemory : Optional.empty(),
                         mEvents.lastIdentifier().or(mRequest::lastEvent));
-        mLog.sent(stage, endpoint, mCalls, now - mArrivedMillis);
+        mLog.sent(stage, endpoint, mBudget.calls(), now - mArrivedMillis);
         if (stage == EndpointCall.Stage.RUN) {
             mMemory = Optional.empty();
         }
@@ -241,31 +225,6 @@
                         new CallHandler(mContext, this, stage));
     }
 
-    /**
-     * Returns whether the next call is within the budget for repeats, and takes what it needs of
-     * it.
-     *
-     * <p>Free are the first call and the first reading of the prompt that an engine accepts; calls
-     * that are rejected count.
-     */
-    private boolean isPaidFor(long nowMillis) {
-        int needed = mSent - (mReadAccepted ? 1 : 0);
-        while (mPaid < needed) {
-            if (!mayRepeat(nowMillis)) {
-                return false;
-            }
-            mPaid++;
-        }
-        return true;
-    }
-
-    boolean mayRepeat(long nowMillis) {
-        return mCalls < MOST_CALLS
-                && mContext.retries()
-                        .of(mService)
-                        .tryRepeat(mContext.state().machines(), nowMillis);
-    }
-
     private int rank() {
         int rank = mTeam.map(team -> team.rank().orElse(mRoute.rank())).orElse(mRoute.rank());
         return Math.max(0, Math.min(LOWEST_URGENCY, rank));
@@ -275,7 +234,8 @@
         mCall = null;
         mExcluded.add(endpoint.name());
         mLog.elsewhere(endpoint, reason);
-        if (MonotonicClock.nowMillis() + ANSWER_MILLIS >= mDeadlineMillis || mCalls >= MOST_CALLS) {
+        if (MonotonicClock.nowMillis() + ANSWER_MILLIS >= mDeadlineMillis
+                || mBudget.isExhausted()) {
             refuseWithoutRun(Refusal.NOT_RUN, reason);
         } else {
             proceed();
@@ -299,7 +259,8 @@
     }
 
     private long retryAfterMillis() {
-        return mRoute.objectiveMillis();
+        long drain = line().drainMillis(MonotonicClock.nowMillis());
+        return Math.max(mRoute.objectiveMillis(), Math.min(drain, MOST_RETRY_MILLIS));
     }
 
     private void timeOut() {
@@ -338,16 +299,16 @@
         mDone = true;
         noteReading(false);
         if (mWaiting != null) {
-            mContext.lines().of(mService).remove(mWaiting);
+            line().remove(mWaiting);
             mWaiting = null;
         }
         mMemory.ifPresent(memory -> EndpointExchange.free(mContext, memory, CONNECT_MILLIS));
         mMemory = Optional.empty();
         long took = MonotonicClock.nowMillis() - mArrivedMillis;
         mContext.metrics().duration("requests.millis." + mRoute.kind(), took);
-        mLog.ended(mRoute, outcome, mCalls, took, reason);
+        mLog.ended(mRoute, outcome, mBudget.calls(), took, reason);
         mOnEnd.run();
-        mContext.lines().of(mService).advance(MonotonicClock.nowMillis());
+        line().advance(MonotonicClock.nowMillis());
     }
 
     static HttpResponse closing(GatewayContext context, HttpResponse head) {
@@ -400,14 +361,9 @@
         mRan++;
     }
 
-    /** Takes back that a call was counted which never reached its endpoint. */
-    void uncount() {
-        mSent--;
-    }
-
-    /** Notes that the next run has been allowed by the budget. */
-    void payRepeat() {
-        mPaid++;
+    /** Returns the calls made so far. */
+    CallBudget budget() {
+        return mBudget;
     }
 
     /** A stream that goes on elsewhere waits for no reading engine. */
@@ -417,10 +373,10 @@
 
     /** Goes on with a prompt that has been read. */
     void promptRead(PromptMemory memory) {
-        mReadAccepted = true;
+        mBudget.readAccepted();
         mMemory = Optional.of(memory);
         proceed();
-        mContext.lines().of(mService).advance(MonotonicClock.nowMillis());
+        line().advance(MonotonicClock.nowMillis());
     }
 
     boolean mayRunAgain() {
@@ -430,4 +386,32 @@
     void began() {
         mTeam.ifPresent(team -> mContext.usage().began(team.name()));
     }
+
+    /** The request while it waits for an engine. */
+    private final class LineAttempt implements WaitingLine.Attempt {
+        @Override
+        public boolean tryNow() {
+            if (mDone) {
+                return true;
+            }
+            if (isReadApart() && !readPrompt()) {
+                return false;
+            }
+            mWaiting = null;
+            if (mCall == null && !mDone) {
+                noteReading(false);
+                run();
+            }
+            return true;
+        }
+
+        @Override
+        public void giveUp() {
+            mWaiting = null;
+            if (!mDone) {
+                refuseWithoutRun(
+                        Refusal.OVERLOADED, "no engine would have room to read the prompt in time");
+            }
+        }
+    }
 }
