--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -21,6 +21,9 @@
     /** Engines that run requests whatever the work, so that one may be lost. */
     private static final int LEAST_RUNNERS = 2;
 
+    /** Part of the engines that run whatever the work: chats triple sooner than a role changes. */
+    private static final double LEAST_RUNNING_PART = 0.25;
+
     /** Prompts being read, on average, from which on engines that nobody needs else read. */
     private static final double LEAST_READING = 0.05;
 
@@ -108,21 +111,28 @@
     private static int wantedReaders(int engines, int readers, Work work, int slots) {
         double neededSlots = work.running() / Math.max(1, slots);
         int runners = engines - readers;
-        if (runners < LEAST_RUNNERS || neededSlots > BUSY_RUNNING * runners) {
-            return Math.min(readers, engines - runnersFor(neededSlots));
+        if (runners < leastRunners(engines) || neededSlots > BUSY_RUNNING * runners) {
+            return Math.min(readers, engines - runnersFor(neededSlots, engines));
         }
         if (work.reading() == 0 && work.running() == 0 && engines >= LEAST_ENGINES_TO_PREPARE) {
             return Math.max(readers, (int) (engines * FIRST_READERS));
         }
         boolean asked = work.reading() > LEAST_READING;
-        return asked ? Math.max(readers, engines - runnersFor(neededSlots)) : readers;
+        return asked ? Math.max(readers, engines - runnersFor(neededSlots, engines)) : readers;
+    }
+
+    private static int runnersFor(double neededSlots, int engines) {
+        return Math.max(leastRunners(engines), (int) Math.ceil(neededSlots / SPARE_RUNNING));
     }
 
-    private static int runnersFor(double neededSlots) {
-        return Math.max(LEAST_RUNNERS, (int) Math.ceil(neededSlots / SPARE_RUNNING));
+    private static int leastRunners(int engines) {
+        return Math.max(LEAST_RUNNERS, (int) (engines * LEAST_RUNNING_PART));
     }
 
-    /** Returns an engine of the failure domain that has most of them, if one may change. */
+    /**
+     * Returns an engine of the failure domain that has most of them, if one may change; the
+     * youngest, which has the least work to finish first.
+     */
     private Optional<Endpoint> mostCrowded(List<Endpoint> engines, long nowMillis) {
         Map<String, Integer> perDomain = new HashMap<>();
         engines.forEach(each -> perDomain.merge(each.failureDomain(), 1, Integer::sum));
@@ -131,6 +141,7 @@
                 .max(
                         Comparator.comparingInt(
                                         (Endpoint each) -> perDomain.get(each.failureDomain()))
+                                .thenComparing(Endpoint::bornMillis)
                                 .thenComparing(Endpoint::name));
     }
 
--- a/src/main/java/org/vanilladoor/duty/MemberExchange.java
+++ b/src/main/java/org/vanilladoor/duty/MemberExchange.java
@@ -77,18 +77,7 @@
     private void write(long now) {
         mWriting = true;
         mWrittenMillis = now;
-        // Fades over a few seconds, so that one quiet second does not hide the work.
-        mMeter.take(now)
-                .forEach(
-                        (service, work) ->
-                                mRecent.merge(
-                                        service,
-                                        work,
-                                        (before, latest) ->
-                                                new Work(
-                                                        (before.reading() + latest.reading()) / 2,
-                                                        (before.running() + latest.running())
-                                                                / 2)));
+        mMeter.take(now).forEach((service, work) -> mRecent.merge(service, work, Work::followedBy));
         MemberReport report =
                 new MemberReport(
                         mMachine,
--- a/src/main/java/org/vanilladoor/duty/Work.java
+++ b/src/main/java/org/vanilladoor/duty/Work.java
@@ -21,4 +21,15 @@
     public Work max(Work other) {
         return new Work(Math.max(reading, other.reading), Math.max(running, other.running));
     }
+
+    /**
+     * Returns the work to reckon with after the next measurement: a rise counts at once, since
+     * engines take seconds to follow it, and a fall by half, so that one quiet second hides
+     * nothing.
+     */
+    public Work followedBy(Work latest) {
+        return new Work(
+                Math.max(latest.reading, (reading + latest.reading) / 2),
+                Math.max(latest.running, (running + latest.running) / 2));
+    }
 }
--- a/src/test/java/org/vanilladoor/duty/FleetPlanTests.java
+++ b/src/test/java/org/vanilladoor/duty/FleetPlanTests.java
@@ -78,6 +78,30 @@
         assertThat(changes.get(0).engine().failureDomain()).isEqualTo("b");
     }
 
+    @Test
+    void aQuarterOfManyEnginesRunsWhateverTheWork() {
+        List<FleetPlan.RoleChange> changes =
+                mPlan.decide(mService, engines(8, 8), new Work(20, 10), NOW);
+        assertThat(changes).hasSize(4);
+    }
+
+    @Test
+    void theYoungestEngineChangesSinceItHasTheLeastToFinish() {
+        List<Endpoint> engines = new ArrayList<>();
+        engines.add(Endpoints.engine("z-old", "a", EngineRole.DECODE));
+        engines.add(Endpoints.bornAt(Endpoints.engine("a-young", "a", EngineRole.DECODE), 9_000));
+        engines.add(Endpoints.engine("b", "b", EngineRole.DECODE));
+        List<FleetPlan.RoleChange> changes = mPlan.decide(mService, engines, new Work(4, 1), NOW);
+        assertThat(changes.get(0).engine().name()).isEqualTo("a-young");
+    }
+
+    @Test
+    void aBurstOfRunningRequestsCountsAtOnceAndFadesByHalf() {
+        Work risen = new Work(2, 50).followedBy(new Work(1, 180));
+        assertThat(risen).isEqualTo(new Work(1.5, 180));
+        assertThat(risen.followedBy(Work.NONE)).isEqualTo(new Work(0.75, 90));
+    }
+
     private static List<Endpoint> engines(int readers, int runners) {
         List<Endpoint> engines = new ArrayList<>();
         for (int index = 0; index < readers; index++) {
--- a/src/test/java/org/vanilladoor/fleet/Endpoints.java
+++ b/src/test/java/org/vanilladoor/fleet/Endpoints.java
@@ -50,4 +50,18 @@
                 true,
                 endpoint.bornMillis());
     }
+
+    public static Endpoint bornAt(Endpoint endpoint, long bornMillis) {
+        return new Endpoint(
+                endpoint.name(),
+                endpoint.service(),
+                endpoint.address(),
+                endpoint.failureDomain(),
+                endpoint.slots(),
+                endpoint.leaving(),
+                endpoint.role(),
+                endpoint.changing(),
+                endpoint.reclaimable(),
+                bornMillis);
+    }
 }
