--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/FaultSoakTests.java
@@ -0,0 +1,38 @@
+package org.vanilladoor.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The promises under faults from outside, with real processes. */
+class FaultSoakTests {
+    private static final Path FOLDER = Path.of("target", "soak");
+    private static final long FAULT_MILLIS = 8_000;
+
+    /** Seeds to run by hand: {@code -Dsoak.first=1000 -Dsoak.seeds=50}; none otherwise. */
+    private static final long FIRST = Long.getLong("soak.first", 0);
+
+    private static final long SEEDS = Long.getLong("soak.seeds", 0);
+
+    private static void holds(long seed) throws IOException, InterruptedException {
+        Path folder = FOLDER.resolve(Long.toString(seed));
+        assertThat(FaultSoak.run(seed, FAULT_MILLIS, folder)).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void promisesHoldUnderFaultsFromOutside(long seed) throws IOException, InterruptedException {
+        holds(seed);
+    }
+
+    @Test
+    void promisesHoldForSeedsChosenByHand() throws IOException, InterruptedException {
+        for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
+            holds(seed);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/FaultyLink.java
@@ -0,0 +1,148 @@
+package org.vanilladoor.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
+import org.vanilladoor.common.HostPort;
+
+/**
+ * A loopback proxy that passes bytes on as well as its state lets it.
+ *
+ * <p>A silent connection stays silent for good; connections made after the link is well again work.
+ * Safe for use by any thread.
+ */
+final class FaultyLink implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final long DELAY_MILLIS = 120;
+    private final ServerSocket mServer;
+    private final Supplier<HostPort> mTarget;
+    private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
+    private volatile State mState = State.WELL;
+
+    private FaultyLink(ServerSocket server, Supplier<HostPort> target) {
+        mServer = server;
+        mTarget = target;
+    }
+
+    /** Starts a link to where the target is at the time of each connection. */
+    static FaultyLink start(Supplier<HostPort> target) throws IOException {
+        ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        FaultyLink link = new FaultyLink(server, target);
+        run(link::accept);
+        return link;
+    }
+
+    HostPort address() {
+        return new HostPort("127.0.0.1", mServer.getLocalPort());
+    }
+
+    void become(State state) {
+        mState = state;
+        if (state == State.RESET) {
+            mSockets.forEach(FaultyLink::reset);
+            mSockets.clear();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+        mSockets.forEach(FaultyLink::reset);
+    }
+
+    private void accept() {
+        while (!mServer.isClosed()) {
+            try {
+                Socket near = mServer.accept();
+                mSockets.add(near);
+                connect(near);
+            } catch (IOException e) {
+                // The link was closed.
+                return;
+            }
+        }
+    }
+
+    private void connect(Socket near) {
+        if (mState == State.RESET) {
+            reset(near);
+            return;
+        }
+        try {
+            HostPort target = mTarget.get();
+            Socket far = new Socket(target.host(), target.port());
+            mSockets.add(far);
+            run(() -> pump(near, far, State.CUT_FORTH));
+            run(() -> pump(far, near, State.CUT_BACK));
+        } catch (IOException e) {
+            // A target that is down looks like this to whoever connects to it.
+            reset(near);
+        }
+    }
+
+    /** Passes bytes on; a direction that was cut or silent once stays so on this connection. */
+    private void pump(Socket from, Socket to, State cut) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        boolean silent = false;
+        try {
+            InputStream input = from.getInputStream();
+            OutputStream output = to.getOutputStream();
+            int count = input.read(buffer);
+            while (count >= 0) {
+                silent |= mState == State.SILENT || mState == cut;
+                if (mState == State.SLOW) {
+                    Thread.sleep(DELAY_MILLIS);
+                }
+                if (!silent) {
+                    output.write(buffer, 0, count);
+                    output.flush();
+                }
+                count = input.read(buffer);
+            }
+            if (!silent) {
+                to.shutdownOutput();
+            }
+        } catch (IOException e) {
+            if (!silent) {
+                reset(to);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // It is closed already, which is what was wanted.
+            return;
+        }
+    }
+
+    private static void run(Runnable task) {
+        Thread thread = new Thread(task, "faulty-link");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** What becomes of bytes and connections. */
+    enum State {
+        WELL,
+        SLOW,
+        SILENT,
+        /** Bytes towards the target are lost. */
+        CUT_FORTH,
+        /** Bytes from the target are lost. */
+        CUT_BACK,
+        /** Every connection is reset, new ones too. */
+        RESET
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/SoakRoute.java
@@ -0,0 +1,52 @@
+package org.vanilladoor.platform;
+
+import java.util.List;
+
+/** The routes that a soak serves. */
+enum SoakRoute {
+    ONCE("unsafe", 1, false),
+    SAFE("safe", 2, false),
+    FLOW("stream", 1, false),
+    OPEN("safe", 2, true);
+
+    /** Keys of callers; key-N belongs to team-N. */
+    static final List<String> KEYS = List.of("key-1", "key-2", "key-3");
+
+    /** Events of each stream. */
+    static final int EVENTS = 4;
+
+    private final String mType;
+    private final int mMostRuns;
+    private final boolean mPublic;
+
+    SoakRoute(String type, int mostRuns, boolean isPublic) {
+        mType = type;
+        mMostRuns = mostRuns;
+        mPublic = isPublic;
+    }
+
+    static SoakRoute of(String path) {
+        return valueOf(path.substring(1, path.indexOf('/', 1)).toUpperCase(java.util.Locale.ROOT));
+    }
+
+    String prefix() {
+        return "/" + name().toLowerCase(java.util.Locale.ROOT) + "/";
+    }
+
+    String type() {
+        return mType;
+    }
+
+    int mostRuns() {
+        return mMostRuns;
+    }
+
+    boolean isPublic() {
+        return mPublic;
+    }
+
+    /** Returns the team that endpoints have to be told. */
+    String teamOf(String key) {
+        return mPublic ? "" : key.replace("key", "team");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/SoakVm.java
@@ -0,0 +1,123 @@
+package org.vanilladoor.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.vanilladoor.common.HostPort;
+
+/**
+ * A VM whose serving process a soak starts, signals and starts again.
+ *
+ * <p>Invariant: only processes that it started are signalled, by their ids. Belongs to the soak's
+ * thread.
+ */
+final class SoakVm implements AutoCloseable {
+    private static final int CALLERS_PORT = 8405;
+    private static final int READY_PORT = 8406;
+    private final String mName;
+    private final String mHost;
+    private final FaultyLink mStoreLink;
+    private final Path mSettings;
+    private final Path mLog;
+    private Process mProcess;
+
+    private SoakVm(String name, String host, FaultyLink storeLink, Path folder) {
+        mName = name;
+        mHost = host;
+        mStoreLink = storeLink;
+        mSettings = folder.resolve(name + ".toml");
+        mLog = folder.resolve(name + ".log");
+    }
+
+    /**
+     * Starts the process of a VM.
+     *
+     * @param host loopback address of its own
+     * @param storeLink link to the platform
+     * @param folder takes settings and log
+     */
+    static SoakVm start(String name, String host, FaultyLink storeLink, Path folder)
+            throws IOException {
+        SoakVm vm = new SoakVm(name, host, storeLink, folder);
+        Files.writeString(vm.mSettings, vm.settings());
+        vm.startProcess();
+        return vm;
+    }
+
+    String name() {
+        return mName;
+    }
+
+    HostPort callers() {
+        return new HostPort(mHost, CALLERS_PORT);
+    }
+
+    FaultyLink storeLink() {
+        return mStoreLink;
+    }
+
+    void startProcess() throws IOException {
+        mProcess =
+                new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-Xmx128m",
+                                "-XX:+UseSerialGC",
+                                "-XX:TieredStopAtLevel=1",
+                                "-Dvanilladoor.log.format=events",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "org.vanilladoor.command.Main",
+                                "serve",
+                                "--settings",
+                                mSettings.toString())
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(mLog.toFile()))
+                        .start();
+    }
+
+    boolean isRunning() {
+        return mProcess.isAlive();
+    }
+
+    void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(mProcess.pid())).start().waitFor();
+    }
+
+    /** Waits for the end of the process; returns whether it came in time. */
+    boolean awaitEnd(long millis) throws InterruptedException {
+        return mProcess.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
+    void kill() throws InterruptedException {
+        mProcess.destroyForcibly();
+        mProcess.waitFor();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mProcess.destroyForcibly();
+        mStoreLink.close();
+    }
+
+    private String settings() {
+        return String.join(
+                "\n",
+                "node = \"" + mName + "\"",
+                "zone = \"a\"",
+                "[listen]",
+                "front = \"" + mHost + ":" + CALLERS_PORT + "\"",
+                "ready = \"" + mHost + ":" + READY_PORT + "\"",
+                "[platform]",
+                "addr = \"" + mStoreLink.address() + "\"",
+                "[cloud]",
+                "addr = \"" + mStoreLink.address() + "\"",
+                "[bounds]",
+                "retry_ratio = 0.2",
+                "retry_extra = 100",
+                "retry_window_s = 10",
+                "report_window_s = 5",
+                "grace_s = 8",
+                "");
+    }
+}
