--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -44,7 +44,14 @@
     /** Time for which an engine keeps a role, in milliseconds; a change takes it away for a few. */
     private static final long DWELL_MILLIS = 20_000;
 
+    /** How much running requests have to exceed their latest peak to count as a rise. */
+    private static final double RISE = 1.2;
+
+    /** Time after a rise, or a change to running, in which no engine stops running. */
+    private static final long RISING_MILLIS = 6_000;
+
     private final Map<String, Long> mChangedMillis = new HashMap<>();
+    private long mRunnersNeededMillis = Long.MIN_VALUE / 2;
     private double mPeakRunning;
     private long mPeakMillis;
 
@@ -75,7 +82,9 @@
         int wanted = wantedReaders(usable.size(), readers.size(), reckoned, slots);
         List<RoleChange> changes = new ArrayList<>();
         List<Endpoint> left = new ArrayList<>(runners);
-        for (int missing = wanted - readers.size(); missing > 0; missing--) {
+        boolean mayStopRunning =
+                readers.isEmpty() || nowMillis - mRunnersNeededMillis >= RISING_MILLIS;
+        for (int missing = wanted - readers.size(); missing > 0 && mayStopRunning; missing--) {
             Optional<Endpoint> spare = mostCrowded(left, nowMillis);
             spare.ifPresent(
                     engine -> {
@@ -98,14 +107,20 @@
     /** Returns the running requests to reckon with: the latest peak, fading slowly. */
     private double peakRunning(double running, long nowMillis) {
         double faded = mPeakRunning * Math.exp((mPeakMillis - nowMillis) / PEAK_FADE_MILLIS);
+        if (faded > 0 && running > RISE * faded) {
+            mRunnersNeededMillis = nowMillis;
+        }
         mPeakRunning = Math.max(running, faded);
         mPeakMillis = nowMillis;
         return mPeakRunning;
     }
 
-    /** Notes that a change was ordered. */
+    /** Notes that a change was ordered; engines that change to running need seconds for it. */
     public void ordered(RoleChange change, long nowMillis) {
         mChangedMillis.put(change.engine().name(), nowMillis);
+        if (change.role() == EngineRole.DECODE) {
+            mRunnersNeededMillis = nowMillis;
+        }
     }
 
     private static int wantedReaders(int engines, int readers, Work work, int slots) {
--- a/src/main/java/org/vanilladoor/duty/MemberBoard.java
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -5,16 +5,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.vanilladoor.common.RendezvousRanking;
 
 /**
- * The reports of all processes as last listed, and which of the processes live.
+ * What this process knows of the others: their reports as last listed, or the holder's roster.
  *
- * <p>A process lives if its report changed within a while before the last listing, by this VM's
- * monotonic clock; no clocks are compared. Invariant: nobody is given up while nothing can be
- * listed. Listings go in; belongs to the control thread.
+ * <p>The holder of the fleet's lease and those who stand by list all reports; the others only
+ * follow the roster, so that what each process reads does not grow with their number. A process
+ * lives if its report changed within a while before the last listing, by this VM's monotonic clock;
+ * no clocks are compared. Invariant: nobody is given up while nothing can be listed. Listings go
+ * in; belongs to the control thread.
  */
 public final class MemberBoard {
     /** Time without a new report after which a process counts as gone, in milliseconds. */
@@ -46,6 +49,10 @@
     private final Map<String, Entry> mEntries = new TreeMap<>();
     private boolean mListed;
     private long mListedMillis;
+    private boolean mFollowing;
+    private Optional<Roster> mRoster = Optional.empty();
+    private long mBeatMillis;
+    private boolean mRosterSilent;
 
     private MemberBoard(String ownObject) {
         mOwnObject = ownObject;
@@ -68,6 +75,38 @@
         byName.values().forEach(each -> take(each, nowMillis));
         mListed = true;
         mListedMillis = nowMillis;
+        mFollowing = false;
+    }
+
+    /** Takes in the holder's roster in place of a listing; empty if there is none. */
+    public void follow(Optional<Roster> roster, long nowMillis) {
+        boolean first = !mFollowing;
+        boolean beats =
+                roster.isPresent()
+                        && mRoster.map(Roster::beat)
+                                .filter(beat -> beat == roster.get().beat())
+                                .isEmpty();
+        if (first || beats) {
+            mBeatMillis = nowMillis;
+        }
+        mFollowing = true;
+        mRoster = roster;
+        mRosterSilent = roster.isEmpty() || nowMillis - mBeatMillis >= SILENT_MILLIS;
+    }
+
+    /** Returns whether a listing is at hand, not only the roster. */
+    public boolean isListed() {
+        return mListed && !mFollowing;
+    }
+
+    /** Returns whether this process has to list all reports once it looks again. */
+    public boolean needsListing() {
+        return mFollowing ? !mRosterSilent && isCandidate() : !mListed || isCandidate();
+    }
+
+    /** Returns the roster to tell the others. */
+    public Roster roster(long beat) {
+        return new Roster(beat, living(), candidates());
     }
 
     private void take(Listed listed, long nowMillis) {
@@ -79,6 +118,9 @@
 
     /** Returns how many processes live, or {@link #UNKNOWN} before the first listing. */
     public int living() {
+        if (mFollowing) {
+            return mRoster.map(Roster::living).orElse(UNKNOWN);
+        }
         return mListed ? Math.max(1, livingNames().size()) : UNKNOWN;
     }
 
@@ -94,19 +136,24 @@
 
     /** Returns whether this process is one of those that stand by for the lease. */
     public boolean isCandidate() {
-        if (!mListed) {
-            return true;
+        if (mFollowing) {
+            return mRosterSilent || mRoster.orElseThrow().candidates().contains(mOwnObject);
         }
+        return !mListed || candidates().contains(mOwnObject);
+    }
+
+    private List<String> candidates() {
         TreeSet<String> names = new TreeSet<>(livingNames());
         names.add(mOwnObject);
-        return RendezvousRanking.rank("fleet", names).stream()
-                .limit(CANDIDATES)
-                .anyMatch(mOwnObject::equals);
+        return RendezvousRanking.rank("fleet", names).stream().limit(CANDIDATES).toList();
     }
 
-    /** Returns the work of all living processes, by service. */
+    /** Returns the work of all living processes, by service; nothing without a listing. */
     public Map<String, Work> work() {
         Map<String, Work> sums = new HashMap<>();
+        if (mFollowing) {
+            return sums;
+        }
         mEntries.values().stream()
                 .filter(entry -> entry.isLiving(mListedMillis))
                 .forEach(
--- a/src/main/java/org/vanilladoor/duty/MemberExchange.java
+++ b/src/main/java/org/vanilladoor/duty/MemberExchange.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.Json;
@@ -20,12 +22,22 @@
  * <p>Invariant: one write and one listing are open at a time. Belongs to the control thread.
  */
 final class MemberExchange {
-    /** Time between listings of a process without the lease, in milliseconds. */
+    /** Time between listings, or looks at the roster, of a process without the lease. */
     private static final long LIST_MILLIS = 4_000;
 
-    /** Time between listings of the holder, in milliseconds. */
+    /** Shortest time between listings of the holder, in milliseconds. */
     private static final long HOLDER_LIST_MILLIS = 1_000;
 
+    /**
+     * Time between them for each living process; windows are sealed six seconds after their end.
+     */
+    private static final long HOLDER_LIST_MILLIS_PER_PROCESS = 10;
+
+    /** Time between rosters, in milliseconds. */
+    private static final long ROSTER_MILLIS = 3_000;
+
+    private static final String ROSTER = "roster/fleet";
+
     private final ObjectStore mStore;
     private final StoredReports mReports;
     private final MemberBoard mBoard;
@@ -40,8 +52,12 @@
     private long mVersion = ObjectStore.ABSENT;
     private long mWrittenMillis;
     private long mListedMillis;
+    private long mRosterMillis;
+    private long mRosterVersion = ObjectStore.ABSENT;
+    private long mBeat;
     private boolean mWriting;
     private boolean mListing;
+    private boolean mRosterOpen;
 
     MemberExchange(
             ObjectStore store,
@@ -67,9 +83,12 @@
         if (!mWriting && now - mWrittenMillis >= mBoard.reportIntervalMillis()) {
             write(now);
         }
-        long pause = holder ? HOLDER_LIST_MILLIS : LIST_MILLIS;
-        if (!mListing && now - mListedMillis >= pause) {
-            list(holder, now);
+        boolean firstAsHolder = holder && !mBoard.isListed();
+        if (!mListing && (firstAsHolder || now - mListedMillis >= listPause(holder))) {
+            look(holder, now);
+        }
+        if (holder && mBoard.isListed() && !mRosterOpen && now - mRosterMillis >= ROSTER_MILLIS) {
+            tellRoster(now);
         }
         mState.setMachines(mBoard.living());
     }
@@ -115,9 +134,73 @@
                         });
     }
 
-    private void list(boolean holder, long now) {
+    private long listPause(boolean holder) {
+        long all = mBoard.living() * HOLDER_LIST_MILLIS_PER_PROCESS;
+        return holder ? Math.max(HOLDER_LIST_MILLIS, Math.min(LIST_MILLIS, all)) : LIST_MILLIS;
+    }
+
+    private void look(boolean holder, long now) {
         mListing = true;
         mListedMillis = now;
+        if (holder || mBoard.needsListing()) {
+            list(holder);
+        } else {
+            follow();
+        }
+    }
+
+    private void follow() {
+        mReports.list(ROSTER, true)
+                .whenComplete(
+                        (found, failure) -> {
+                            mListing = false;
+                            if (failure == null) {
+                                mBoard.follow(roster(found), MonotonicClock.nowMillis());
+                            }
+                        });
+    }
+
+    private static Optional<Roster> roster(List<StoredObject> found) {
+        for (StoredObject object : found) {
+            try {
+                return Optional.of(Json.read(object.content(), Roster.class));
+            } catch (UncheckedIOException e) {
+                EventLog.write("member", "roster.unreadable", "object", object.name());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Writes the roster; the version of another holder's roster is found out by a refused write.
+     */
+    private void tellRoster(long now) {
+        mRosterOpen = true;
+        mRosterMillis = now;
+        mBeat = Math.max(mBeat + 1, mWallTime.nowMillis());
+        mStore.write(ROSTER, mRosterVersion, Json.write(mBoard.roster(mBeat)))
+                .handle(
+                        (version, failure) ->
+                                failure == null
+                                        ? CompletableFuture.completedFuture(version)
+                                        : rosterVersion(failure))
+                .thenCompose(future -> future)
+                .whenComplete(
+                        (version, failure) -> {
+                            mRosterOpen = false;
+                            if (failure == null) {
+                                mRosterVersion = version;
+                            }
+                        });
+    }
+
+    private CompletableFuture<Long> rosterVersion(Throwable failure) {
+        EventLog.write("member", "roster.unwritten", "reason", failure.getMessage());
+        return mStore.read(ROSTER)
+                .thenApply(found -> found.map(StoredObject::version).orElse(ObjectStore.ABSENT));
+    }
+
+    private void list(boolean holder) {
         mReports.list(mObject, !holder)
                 .whenComplete(
                         (objects, failure) -> {
--- a/src/main/java/org/vanilladoor/duty/RoleDuty.java
+++ b/src/main/java/org/vanilladoor/duty/RoleDuty.java
@@ -10,6 +10,7 @@
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.fleet.EndpointDirectory;
+import org.vanilladoor.fleet.NewsPace;
 import org.vanilladoor.gateway.ServingState;
 import org.vanilladoor.route.ServiceDefinition;
 
@@ -25,8 +26,8 @@
     /** Longest time after which an engine still carries out an order that it did not answer. */
     private static final long FORERUNNER_MILLIS = 12_000;
 
-    /** Time in which all VMs hear of a change that is announced. */
-    private static final Duration HEARD = Duration.ofMillis(150);
+    /** Time that news takes to a VM which asks for it, in milliseconds. */
+    private static final long ANSWERED_MILLIS = 150;
 
     /** Time between looks at an engine that changes. */
     private static final Duration CHECK = Duration.ofMillis(400);
@@ -118,10 +119,16 @@
                 .thenRun(
                         () ->
                                 mControl.delay(
-                                        HEARD, () -> orderAnnounced(engine, change.role(), lease)))
+                                        heard(),
+                                        () -> orderAnnounced(engine, change.role(), lease)))
                 .exceptionally(failure -> giveUp(engine, failure));
     }
 
+    /** Returns the time in which all VMs hear of a change that is announced. */
+    private Duration heard() {
+        return Duration.ofMillis(NewsPace.millis(mState.machines()) + ANSWERED_MILLIS);
+    }
+
     private void orderAnnounced(Endpoint engine, EngineRole role, FleetLease lease) {
         mOrders.report(engine)
                 .thenCompose(
--- a/src/main/java/org/vanilladoor/duty/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/duty/UsageDuty.java
@@ -55,7 +55,7 @@
 
     /** Reports the oldest window that is due, if one is. */
     void pulse(FleetLease lease) {
-        if (mBusy) {
+        if (mBusy || !mBoard.isListed()) {
             return;
         }
         long wall = mWallMillis.getAsLong();
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -14,6 +14,7 @@
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.duty.Duties;
 import org.vanilladoor.fleet.EndpointDirectory;
+import org.vanilladoor.fleet.NewsPace;
 import org.vanilladoor.fleet.Placement;
 import org.vanilladoor.gateway.Gateway;
 import org.vanilladoor.gateway.GatewayMetrics;
@@ -106,6 +107,7 @@
                 store,
                 ConfigurationFeed.KIND,
                 CONFIGURATION_WAIT_MILLIS,
+                () -> 0,
                 random,
                 ConfigurationFeed.create(mState));
         StoreFeed.start(
@@ -113,6 +115,7 @@
                 store,
                 EndpointFeed.KIND,
                 ENDPOINT_WAIT_MILLIS,
+                () -> NewsPace.millis(mState.machines()),
                 random,
                 EndpointFeed.create(directory, mState));
         mCallers = listen(settings.callerAddress(), mGateway::arrived);
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
@@ -22,23 +23,27 @@
     private final ObjectClient mClient;
     private final String mKind;
     private final long mWaitMillis;
+    private final LongSupplier mPaceMillis;
     private final RandomGenerator mRandom;
     private final Listener mListener;
     private boolean mListed;
     private boolean mAway;
     private long mRevision;
+    private long mAskedMillis;
 
     private StoreFeed(
             ControlLoop control,
             ObjectClient client,
             String kind,
             long waitMillis,
+            LongSupplier paceMillis,
             RandomGenerator random,
             Listener listener) {
         mControl = control;
         mClient = client;
         mKind = kind;
         mWaitMillis = waitMillis;
+        mPaceMillis = paceMillis;
         mRandom = random;
         mListener = listener;
     }
@@ -48,21 +53,25 @@
      *
      * @param kind kind of the platform
      * @param waitMillis how long the store waits for a change before it answers
+     * @param paceMillis tells the shortest time between two questions
      */
     static StoreFeed start(
             ControlLoop control,
             ObjectClient client,
             String kind,
             long waitMillis,
+            LongSupplier paceMillis,
             RandomGenerator random,
             Listener listener) {
-        StoreFeed feed = new StoreFeed(control, client, kind, waitMillis, random, listener);
+        StoreFeed feed =
+                new StoreFeed(control, client, kind, waitMillis, paceMillis, random, listener);
         control.execute(feed::next);
         return feed;
     }
 
     private void next() {
         long askedMillis = ExpiryClock.nowMillis();
+        mAskedMillis = askedMillis;
         if (mListed) {
             mClient.changes(mKind, mRevision, mWaitMillis)
                     .thenAccept(changes -> take(changes, askedMillis))
@@ -111,7 +120,8 @@
 
     private void proceed(Throwable failure) {
         if (failure == null) {
-            next();
+            long early = mAskedMillis + mPaceMillis.getAsLong() - ExpiryClock.nowMillis();
+            mControl.delay(Duration.ofMillis(Math.max(0, early)), this::next);
             return;
         }
         if (!mAway) {
--- a/src/test/java/org/vanilladoor/duty/FleetPlanTests.java
+++ b/src/test/java/org/vanilladoor/duty/FleetPlanTests.java
@@ -102,6 +102,21 @@
         assertThat(risen.followedBy(Work.NONE)).isEqualTo(new Work(0.75, 90));
     }
 
+    @Test
+    void noEngineStopsRunningWhileRunningRequestsRise() {
+        mPlan.decide(mService, engines(4, 2), new Work(4, 20), NOW);
+        assertThat(mPlan.decide(mService, engines(4, 5), new Work(4, 60), NOW + 2_000)).isEmpty();
+        assertThat(mPlan.decide(mService, engines(4, 5), new Work(4, 60), NOW + 9_000)).hasSize(3);
+    }
+
+    @Test
+    void noEngineStopsRunningWhileOthersAreStillOnTheirWayToRun() {
+        List<FleetPlan.RoleChange> changes =
+                mPlan.decide(mService, engines(6, 2), new Work(4, 120), NOW);
+        changes.forEach(change -> mPlan.ordered(change, NOW + 7_000));
+        assertThat(mPlan.decide(mService, engines(4, 6), new Work(4, 100), NOW + 9_000)).isEmpty();
+    }
+
     private static List<Endpoint> engines(int readers, int runners) {
         List<Endpoint> engines = new ArrayList<>();
         for (int index = 0; index < readers; index++) {
--- a/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
+++ b/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -91,6 +92,50 @@
         assertThat(board.living()).isEqualTo(2);
     }
 
+    @Test
+    void aProcessThatOnlyFollowsTheRosterKnowsHowManyLiveAndWhetherItStandsBy() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        board.follow(Optional.of(new Roster(1, 130, List.of("members/two.1"))), NOW);
+        assertThat(board.living()).isEqualTo(130);
+        assertThat(board.isCandidate()).isFalse();
+        assertThat(board.isListed()).isFalse();
+        board.follow(Optional.of(new Roster(2, 131, List.of("members/one.1"))), NOW + 4_000);
+        assertThat(board.isCandidate()).isTrue();
+        assertThat(board.needsListing()).isTrue();
+    }
+
+    @Test
+    void everyProcessStandsByOnceTheRosterHasBeenSilent() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        Optional<Roster> roster = Optional.of(new Roster(1, 130, List.of("members/two.1")));
+        board.follow(roster, NOW);
+        board.follow(roster, NOW + MemberBoard.SILENT_MILLIS - 1);
+        assertThat(board.isCandidate()).isFalse();
+        board.follow(roster, NOW + MemberBoard.SILENT_MILLIS);
+        assertThat(board.isCandidate()).isTrue();
+        assertThat(board.needsListing()).isFalse();
+        board.follow(Optional.of(new Roster(2, 130, List.of("members/two.1"))), NOW + 13_000);
+        assertThat(board.isCandidate()).isFalse();
+    }
+
+    @Test
+    void whatTheHolderTellsIsWhatItHasListed() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        board.list(List.of(listed("one", 1, 3), listed("two", 1, 4)), NOW);
+        Roster roster = board.roster(7);
+        assertThat(roster.living()).isEqualTo(2);
+        assertThat(roster.candidates()).containsExactly("members/one.1", "members/two.1");
+    }
+
+    @Test
+    void nothingIsReckonedWithFromAListingBeforeTheRosterWasFollowed() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        board.list(List.of(listed("one", 1, 3)), NOW);
+        board.follow(Optional.of(new Roster(1, 130, List.of())), NOW + 4_000);
+        assertThat(board.work()).isEmpty();
+        assertThat(board.isListed()).isFalse();
+    }
+
     private static MemberBoard.Listed listed(String machine, long version, long count) {
         return new MemberBoard.Listed(
                 "members/" + machine + ".1",
--- a/src/test/java/org/vanilladoor/platform/FaultSoak.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoak.java
@@ -31,6 +31,9 @@
     /** Endpoints fail five in a hundred by themselves, and half of these can't be repeated. */
     private static final double LEAST_SERVED = 0.9;
 
+    /** Longer than a key may be of use after it was withdrawn. */
+    private static final int LONGEST_CUT_MILLIS = 9_000;
+
     private static final long THAW_MILLIS = 300;
     private static final long STOP_MILLIS = 9_000;
     private final SoakLedger mLedger = new SoakLedger();
@@ -132,7 +135,12 @@
     }
 
     private void later(Action action) {
-        mSteps.add(new Step(System.currentTimeMillis() + 300 + mRandom.nextInt(2_500), action));
+        within(2_500, action);
+    }
+
+    private void within(int mostMillis, Action action) {
+        mSteps.add(
+                new Step(System.currentTimeMillis() + 300 + mRandom.nextInt(mostMillis), action));
     }
 
     private void configure() {
@@ -178,7 +186,8 @@
     private void spoil(FaultyLink link, Action healed) {
         FaultyLink.State[] states = FaultyLink.State.values();
         link.become(states[1 + mRandom.nextInt(states.length - 1)]);
-        later(
+        within(
+                LONGEST_CUT_MILLIS,
                 () -> {
                     link.become(FaultyLink.State.WELL);
                     healed.run();
--- a/src/test/java/org/vanilladoor/platform/SoakPlatform.java
+++ b/src/test/java/org/vanilladoor/platform/SoakPlatform.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 
@@ -36,6 +37,7 @@
     private final List<Call> mCalls = new ArrayList<>();
     private long mRevision = 10;
     private long mForgotten;
+    private final AtomicInteger mWatches = new AtomicInteger();
     private volatile State mState = State.WELL;
 
     private SoakPlatform(HttpServer server, SoakLedger ledger) {
@@ -56,6 +58,11 @@
         return new HostPort("127.0.0.1", mServer.getAddress().getPort());
     }
 
+    /** Returns how many questions for changes came. */
+    int watches() {
+        return mWatches.get();
+    }
+
     void become(State state) {
         mState = state;
     }
@@ -183,6 +190,7 @@
     }
 
     private Reply watch(String kind, long since, long waitMillis) throws InterruptedException {
+        mWatches.incrementAndGet();
         long end = System.currentTimeMillis() + waitMillis;
         synchronized (this) {
             while (true) {
