--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -28,7 +28,7 @@
     private static final double LEAST_READING = 0.05;
 
     /** Part of the engines that read before any work has been seen; prompts are long these days. */
-    private static final double FIRST_READERS = 0.6;
+    private static final double FIRST_READERS = 0.75;
 
     private static final int LEAST_ENGINES_TO_PREPARE = 4;
 
