--- a/src/main/java/org/vanilladoor/gateway/WaitingLine.java
+++ b/src/main/java/org/vanilladoor/gateway/WaitingLine.java
@@ -36,6 +36,8 @@
     private long mNumber;
     private double mLeft;
     private long mLeftMillis;
+    private boolean mAdvancing;
+    private boolean mAskedAgain;
 
     private WaitingLine() {}
 
@@ -76,8 +78,28 @@
         return waitMillis(mWaiting.size(), nowMillis);
     }
 
-    /** Lets requests leave in order, until one finds no room, and gives up those that can't. */
+    /**
+     * Lets requests leave in order, until one finds no room, and gives up those that can't.
+     *
+     * <p>A request that ends asks for this again; that is done after the present turn, not within.
+     */
     void advance(long nowMillis) {
+        mAskedAgain = true;
+        if (mAdvancing) {
+            return;
+        }
+        mAdvancing = true;
+        try {
+            while (mAskedAgain) {
+                mAskedAgain = false;
+                advanceOnce(nowMillis);
+            }
+        } finally {
+            mAdvancing = false;
+        }
+    }
+
+    private void advanceOnce(long nowMillis) {
         boolean room = true;
         for (Waiting each : inOrder(nowMillis)) {
             if (room && mWaiting.contains(each)) {
--- a/src/test/java/org/vanilladoor/gateway/WaitingLineTests.java
+++ b/src/test/java/org/vanilladoor/gateway/WaitingLineTests.java
@@ -15,6 +15,8 @@
     private final List<String> mLeft = new ArrayList<>();
     private final List<String> mGivenUp = new ArrayList<>();
     private int mRoom;
+    private int mDeepestStack;
+    private boolean mAdvanceOnGivingUp;
     private long mNow;
     private long mLongestHeld;
 
@@ -71,6 +73,18 @@
         assertThat(mGivenUp).doesNotContain("waits 0");
     }
 
+    @Test
+    void manyThatAreGivenUpAtOnceAndEachMoveTheLineOnDoNotNest() {
+        mAdvanceOnGivingUp = true;
+        for (int i = 0; i < 2_000; i++) {
+            add("waits " + i, 0, 10_150);
+        }
+        mLine.advance(10_000);
+        assertThat(mGivenUp).containsNoDuplicates();
+        assertThat(mGivenUp.size() + mLine.size()).isEqualTo(2_000);
+        assertThat(mDeepestStack).isAtMost(200);
+    }
+
     @Test
     void aLineThatMovesFastEnoughGivesNobodyUp() {
         leaveAtTenPerSecond(10_000);
@@ -132,6 +146,13 @@
                     @Override
                     public void giveUp() {
                         mGivenUp.add(name);
+                        mDeepestStack =
+                                Math.max(
+                                        mDeepestStack,
+                                        Thread.currentThread().getStackTrace().length);
+                        if (mAdvanceOnGivingUp) {
+                            mLine.advance(objectiveMillis - OBJECTIVE_MILLIS);
+                        }
                         long arrivedMillis = objectiveMillis - OBJECTIVE_MILLIS;
                         mLongestHeld = Math.max(mLongestHeld, mNow - arrivedMillis);
                     }
