--- a/src/main/java/org/vanilladoor/gateway/RequestProcess.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProcess.java
@@ -267,6 +267,8 @@
         if (mDone) {
             return;
         }
+        boolean routeEnds = mRoute.timeoutMillis() <= mRequest.patienceMillis();
+        String reason = (routeEnds ? "the route's time" : "the caller's patience") + " is over";
         if (mCall != null) {
             // Only an abandoned call can't be sent any more while this decides.
             mCall.abandon();
@@ -274,12 +276,10 @@
             mCall = null;
         }
         if (mStreaming) {
-            finish("cut", "the route's time is over");
+            finish("cut", reason);
             mExchange.abort();
         } else {
-            refuse(
-                    mMayHaveRun ? Refusal.TIMED_OUT : Refusal.OVERLOADED,
-                    "the route's time is over");
+            refuse(mMayHaveRun ? Refusal.TIMED_OUT : Refusal.OVERLOADED, reason);
         }
     }
 
@@ -406,11 +406,16 @@
         }
 
         @Override
-        public void giveUp() {
+        public void giveUp(int ahead, long turnMillis) {
             mWaiting = null;
             if (!mDone) {
                 refuseWithoutRun(
-                        Refusal.OVERLOADED, "no engine would have room to read the prompt in time");
+                        Refusal.OVERLOADED,
+                        "an engine would have room to read the prompt in "
+                                + turnMillis
+                                + " ms, after "
+                                + ahead
+                                + " others");
             }
         }
     }
--- a/src/main/java/org/vanilladoor/gateway/WaitingLine.java
+++ b/src/main/java/org/vanilladoor/gateway/WaitingLine.java
@@ -115,9 +115,10 @@
     private void giveUpHopeless(long nowMillis) {
         int ahead = 0;
         for (Waiting each : inOrder(nowMillis)) {
-            if (nowMillis + waitMillis(ahead + 1, nowMillis) > each.latestMillis()) {
+            long turnMillis = waitMillis(ahead + 1, nowMillis);
+            if (nowMillis + turnMillis > each.latestMillis()) {
                 mWaiting.remove(each);
-                each.attempt().giveUp();
+                each.attempt().giveUp(ahead, turnMillis);
             } else {
                 ahead++;
             }
@@ -149,8 +150,13 @@
         /** Tries to send it; returns whether it has left the line. */
         boolean tryNow();
 
-        /** Ends it, since its turn would come too late. */
-        void giveUp();
+        /**
+         * Ends it, since its turn would come too late.
+         *
+         * @param ahead requests that go before it
+         * @param turnMillis time until its turn would have come
+         */
+        void giveUp(int ahead, long turnMillis);
     }
 
     /** A request with its place in the line. */
--- a/src/test/java/org/vanilladoor/gateway/WaitingLineTests.java
+++ b/src/test/java/org/vanilladoor/gateway/WaitingLineTests.java
@@ -144,7 +144,7 @@
                     }
 
                     @Override
-                    public void giveUp() {
+                    public void giveUp(int ahead, long turnMillis) {
                         mGivenUp.add(name);
                         mDeepestStack =
                                 Math.max(
