--- a/src/main/java/org/vanilladoor/duty/MemberBoard.java
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -39,6 +39,14 @@
     /** Time between reports for each living process, so that the store's load stops growing. */
     private static final long INTERVAL_MILLIS_PER_PROCESS = 100;
 
+    /** Time without a listing after which reports may have been held back by an outage. */
+    private static final long GAP_MILLIS = 3_000;
+
+    /**
+     * Time that a report takes beyond its interval, in milliseconds; a write's longest time-out.
+     */
+    private static final long REPORTED_MILLIS = 1_000;
+
     /** Processes that stand by for the lease; enough for a failure domain and a VM to be lost. */
     private static final int CANDIDATES = 4;
 
@@ -49,6 +57,7 @@
     private final Map<String, Entry> mEntries = new TreeMap<>();
     private boolean mListed;
     private long mListedMillis;
+    private long mListingsSinceMillis;
     private boolean mFollowing;
     private Optional<Roster> mRoster = Optional.empty();
     private long mBeatMillis;
@@ -73,6 +82,9 @@
         listed.forEach(each -> byName.put(each.object(), each));
         mEntries.keySet().retainAll(byName.keySet());
         byName.values().forEach(each -> take(each, nowMillis));
+        if (!mListed || nowMillis - mListedMillis > GAP_MILLIS) {
+            mListingsSinceMillis = nowMillis;
+        }
         mListed = true;
         mListedMillis = nowMillis;
         mFollowing = false;
@@ -94,6 +106,15 @@
         mRosterSilent = roster.isEmpty() || nowMillis - mBeatMillis >= SILENT_MILLIS;
     }
 
+    /**
+     * Returns whether every process that lives and reaches the store has had time to report since
+     * listings came without a gap; after an outage that takes a moment.
+     */
+    public boolean isSettled() {
+        long listed = mListedMillis - mListingsSinceMillis;
+        return isListed() && listed >= reportIntervalMillis() + REPORTED_MILLIS;
+    }
+
     /** Returns whether a listing is at hand, not only the roster. */
     public boolean isListed() {
         return mListed && !mFollowing;
@@ -155,7 +176,7 @@
             return sums;
         }
         mEntries.values().stream()
-                .filter(entry -> entry.isLiving(mListedMillis))
+                .filter(entry -> isLiving(entry))
                 .forEach(
                         entry ->
                                 entry.listed()
@@ -186,7 +207,7 @@
     /** Returns whether the counts of all living processes go beyond a wall time. */
     public boolean isComplete(long wallMillis) {
         return mEntries.values().stream()
-                .filter(entry -> entry.isLiving(mListedMillis))
+                .filter(entry -> isLiving(entry))
                 .allMatch(entry -> entry.listed().report().wallMillis() >= wallMillis);
     }
 
@@ -195,7 +216,7 @@
         List<String> obsolete = new ArrayList<>();
         mEntries.forEach(
                 (object, entry) -> {
-                    if (mListedMillis - entry.changedMillis() > KEPT_MILLIS) {
+                    if (silentMillis(entry) > KEPT_MILLIS) {
                         obsolete.add(object);
                     }
                 });
@@ -204,7 +225,7 @@
 
     private List<String> livingNames() {
         return mEntries.entrySet().stream()
-                .filter(entry -> entry.getValue().isLiving(mListedMillis))
+                .filter(entry -> isLiving(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList();
     }
@@ -218,10 +239,15 @@
      */
     public record Listed(String object, long version, MemberReport report) {}
 
-    /** A report with the time at which its version was first seen. */
-    private record Entry(Listed listed, long changedMillis) {
-        boolean isLiving(long listedMillis) {
-            return listedMillis - changedMillis < SILENT_MILLIS;
-        }
+    /** Silence counts from the last gap in the listings on: nobody could be heard before. */
+    private long silentMillis(Entry entry) {
+        return mListedMillis - Math.max(entry.changedMillis(), mListingsSinceMillis);
     }
+
+    private boolean isLiving(Entry entry) {
+        return silentMillis(entry) < SILENT_MILLIS;
+    }
+
+    /** A report with the time at which its version was first seen. */
+    private record Entry(Listed listed, long changedMillis) {}
 }
--- a/src/main/java/org/vanilladoor/duty/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/duty/UsageDuty.java
@@ -75,7 +75,8 @@
     private boolean isDue(long window, long wallMillis) {
         long end = mLedger.endMillis(window);
         boolean complete = mBoard.isComplete(end);
-        return wallMillis >= end + LATEST_MILLIS || (wallMillis >= end + SETTLE_MILLIS && complete);
+        boolean latest = wallMillis >= end + LATEST_MILLIS && mBoard.isSettled();
+        return latest || (wallMillis >= end + SETTLE_MILLIS && complete);
     }
 
     private void seal(long window, Map<String, Long> counts, FleetLease lease) {
