--- a/src/test/java/org/vanilladoor/platform/FaultSoak.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoak.java
@@ -35,7 +35,10 @@
     private static final int LONGEST_CUT_MILLIS = 9_000;
 
     private static final long THAW_MILLIS = 300;
-    private static final long STOP_MILLIS = 9_000;
+
+    /** The operators' grace of 8 s, and as long as a process may be paused meanwhile. */
+    private static final long STOP_MILLIS = 8_000 + 2 * 2_800;
+
     private final SoakLedger mLedger = new SoakLedger();
     private final SoakPlatform mPlatform;
     private final List<SoakEndpoint> mEndpoints = new ArrayList<>();
@@ -239,7 +242,9 @@
             void strike(FaultSoak soak) throws IOException, InterruptedException {
                 SoakVm vm = soak.anyVm();
                 vm.signal("TERM");
-                soak.later(() -> soak.afterStop(vm, System.currentTimeMillis() + STOP_MILLIS));
+                int start = vm.starts();
+                long latest = System.currentTimeMillis() + STOP_MILLIS;
+                soak.later(() -> soak.afterStop(vm, start, latest));
             }
         },
         RELOAD {
@@ -318,8 +323,16 @@
         abstract void strike(FaultSoak soak) throws IOException, InterruptedException;
     }
 
-    /** A process that is stopped has to end by itself; a paused one ends once it goes on. */
-    private void afterStop(SoakVm vm, long latestMillis) throws IOException, InterruptedException {
+    /**
+     * Starts a VM's process again once it has ended by itself.
+     *
+     * <p>The stop may have struck a process that was killed before; the one after it goes on.
+     */
+    private void afterStop(SoakVm vm, int start, long latestMillis)
+            throws IOException, InterruptedException {
+        if (vm.starts() != start) {
+            return;
+        }
         if (!vm.isRunning()) {
             restart(vm);
         } else if (System.currentTimeMillis() > latestMillis) {
@@ -327,8 +340,8 @@
             vm.kill();
             restart(vm);
         } else {
-            mSteps.add(
-                    new Step(System.currentTimeMillis() + 200, () -> afterStop(vm, latestMillis)));
+            long next = System.currentTimeMillis() + 200;
+            mSteps.add(new Step(next, () -> afterStop(vm, start, latestMillis)));
         }
     }
 
--- a/src/test/java/org/vanilladoor/platform/SoakVm.java
+++ b/src/test/java/org/vanilladoor/platform/SoakVm.java
@@ -21,6 +21,7 @@
     private final Path mSettings;
     private final Path mLog;
     private Process mProcess;
+    private int mStarts;
 
     private SoakVm(String name, String host, FaultyLink storeLink, Path folder) {
         mName = name;
@@ -57,7 +58,13 @@
         return mStoreLink;
     }
 
+    /** Returns how often its process was started. */
+    int starts() {
+        return mStarts;
+    }
+
     void startProcess() throws IOException {
+        mStarts++;
         mProcess =
                 new ProcessBuilder(
                                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
