--- a/src/main/java/org/vanilladoor/duty/MemberBoard.java
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -39,8 +39,11 @@
     /** Time between reports for each living process, so that the store's load stops growing. */
     private static final long INTERVAL_MILLIS_PER_PROCESS = 100;
 
-    /** Time without a listing after which reports may have been held back by an outage. */
-    private static final long GAP_MILLIS = 3_000;
+    /**
+     * Time without a listing after which reports may have been held back by an outage; beyond the
+     * four seconds that lie between listings at most.
+     */
+    private static final long GAP_MILLIS = 6_000;
 
     /**
      * Time that a report takes beyond its interval, in milliseconds; a write's longest time-out.
@@ -176,7 +179,7 @@
             return sums;
         }
         mEntries.values().stream()
-                .filter(entry -> isLiving(entry))
+                .filter(this::isLiving)
                 .forEach(
                         entry ->
                                 entry.listed()
@@ -207,7 +210,7 @@
     /** Returns whether the counts of all living processes go beyond a wall time. */
     public boolean isComplete(long wallMillis) {
         return mEntries.values().stream()
-                .filter(entry -> isLiving(entry))
+                .filter(this::isLiving)
                 .allMatch(entry -> entry.listed().report().wallMillis() >= wallMillis);
     }
 
--- a/src/main/java/org/vanilladoor/duty/MemberExchange.java
+++ b/src/main/java/org/vanilladoor/duty/MemberExchange.java
@@ -161,14 +161,15 @@
     }
 
     private static Optional<Roster> roster(List<StoredObject> found) {
-        for (StoredObject object : found) {
-            try {
-                return Optional.of(Json.read(object.content(), Roster.class));
-            } catch (UncheckedIOException e) {
-                EventLog.write("member", "roster.unreadable", "object", object.name());
-            }
+        if (found.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Json.read(found.get(0).content(), Roster.class));
+        } catch (UncheckedIOException e) {
+            EventLog.write("member", "roster.unreadable", "reason", e.getMessage());
+            return Optional.empty();
         }
-        return Optional.empty();
     }
 
     /**
@@ -177,6 +178,7 @@
     private void tellRoster(long now) {
         mRosterOpen = true;
         mRosterMillis = now;
+        // The wall time tells a new holder's beats from those of its forerunner.
         mBeat = Math.max(mBeat + 1, mWallTime.nowMillis());
         mStore.write(ROSTER, mRosterVersion, Json.write(mBoard.roster(mBeat)))
                 .handle(
--- a/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
+++ b/src/test/java/org/vanilladoor/duty/UsageDutyTests.java
@@ -140,6 +140,15 @@
         assertThat(board.isListed()).isFalse();
     }
 
+    @Test
+    void processesThatStandByNoticeSilenceThoughTheyListOnlyEachFourSeconds() {
+        MemberBoard board = MemberBoard.create("members/one.1");
+        for (long passed = 0; passed <= 16_000; passed += 4_000) {
+            board.list(List.of(listed("one", 1 + passed, 3), listed("two", 1, 4)), NOW + passed);
+        }
+        assertThat(board.living()).isEqualTo(1);
+    }
+
     @Test
     void nobodyCountsAsSilentForTheTimeInWhichNothingCouldBeListed() {
         MemberBoard board = MemberBoard.create("members/one.1");
