--- a/src/test/java/org/vanilladoor/platform/FaultSoak.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoak.java
@@ -83,10 +83,25 @@
         }
     }
 
+    /** Withdraws a key while one VM can't reach the store, and returns what was found broken. */
+    static List<String> withdrawWhileOneIsCutOff(long seed, Path folder)
+            throws IOException, InterruptedException {
+        try (FaultSoak soak = new FaultSoak(seed, folder)) {
+            return soak.run(
+                    () -> {
+                        soak.mVms.get(0).storeLink().become(FaultyLink.State.SILENT);
+                        Fault.CONFIGURATION.strike(soak);
+                        soak.carryOutUntil(System.currentTimeMillis() + LONGEST_CUT_MILLIS);
+                        soak.mVms.get(0).storeLink().become(FaultyLink.State.WELL);
+                    });
+        }
+    }
+
     private List<String> run(long faultMillis) throws IOException, InterruptedException {
-        List<Thread> threads = mCallers.stream().map(Thread::new).toList();
-        threads.forEach(Thread::start);
-        awaitServing();
+        return run(() -> strikeFor(faultMillis));
+    }
+
+    private void strikeFor(long faultMillis) throws IOException, InterruptedException {
         long end = System.currentTimeMillis() + faultMillis;
         while (System.currentTimeMillis() < end) {
             Fault fault = Fault.values()[mRandom.nextInt(Fault.values().length)];
@@ -94,6 +109,13 @@
             carryOutUntil(System.currentTimeMillis() + 100 + mRandom.nextInt(500));
         }
         carryOutUntil(Long.MAX_VALUE);
+    }
+
+    private List<String> run(Action faults) throws IOException, InterruptedException {
+        List<Thread> threads = mCallers.stream().map(Thread::new).toList();
+        threads.forEach(Thread::start);
+        awaitServing();
+        faults.run();
         awaitRecovery();
         mCallers.forEach(SoakCaller::stop);
         for (Thread thread : threads) {
--- a/src/test/java/org/vanilladoor/platform/FaultSoakTests.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoakTests.java
@@ -29,6 +29,12 @@
         holds(seed);
     }
 
+    @Test
+    void aKeyThatIsWithdrawnWhileAVmCanNotReachTheStoreStopsThereToo()
+            throws IOException, InterruptedException {
+        assertThat(FaultSoak.withdrawWhileOneIsCutOff(3, FOLDER.resolve("withdrawn"))).isEmpty();
+    }
+
     @Test
     void promisesHoldForSeedsChosenByHand() throws IOException, InterruptedException {
         for (long seed = FIRST; seed < FIRST + SEEDS; seed++) {
--- a/src/test/java/org/vanilladoor/platform/SoakCaller.java
+++ b/src/test/java/org/vanilladoor/platform/SoakCaller.java
@@ -50,18 +50,24 @@
                 connect();
                 mLedger.sending(attempt, route, key, System.currentTimeMillis());
                 mLedger.answered(attempt, exchange(attempt, route, key));
-                Thread.sleep(PAUSE_MILLIS);
             } catch (IOException e) {
                 mLedger.answered(attempt, 0);
                 leave();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
             }
+            pause();
         }
         leave();
     }
 
+    private void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            stop();
+        }
+    }
+
     private void connect() throws IOException {
         // Now and then to another VM, else on with the connection that is open.
         if (mSocket != null && mRandom.nextInt(20) > 0) {
