--- a/src/main/java/org/vanilladoor/duty/UsageDuty.java
+++ b/src/main/java/org/vanilladoor/duty/UsageDuty.java
@@ -31,6 +31,9 @@
     /** Windows that are looked back to, as far as processes keep their counts. */
     private static final int LOOK_BACK = 7;
 
+    /** Windows that are looked back to for those without requests; older ones are late anyway. */
+    private static final int EMPTY_LOOK_BACK = 2;
+
     private static final String KIND = "usage/";
     private final ObjectStore mStore;
     private final FleetOrders mOrders;
@@ -64,7 +67,7 @@
         for (long window = current - LOOK_BACK; window < current; window++) {
             if (!mReported.contains(window) && isDue(window, wall)) {
                 Map<String, Long> counts = mBoard.usage(window);
-                if (!counts.isEmpty()) {
+                if (!counts.isEmpty() || mayBeEmpty(window, current)) {
                     seal(window, counts, lease);
                     return;
                 }
@@ -72,6 +75,11 @@
         }
     }
 
+    /** A window without requests is due as well; what began long ago may be unknown here. */
+    private boolean mayBeEmpty(long window, long current) {
+        return window >= current - EMPTY_LOOK_BACK && mBoard.isSettled();
+    }
+
     private boolean isDue(long window, long wallMillis) {
         long end = mLedger.endMillis(window);
         boolean complete = mBoard.isComplete(end);
--- a/src/test/java/org/vanilladoor/duty/UsageReportTests.java
+++ b/src/test/java/org/vanilladoor/duty/UsageReportTests.java
@@ -102,6 +102,20 @@
         assertThat(mReported).containsExactly("7 {team=3} 5");
     }
 
+    @Test
+    void aWindowInWhichNoRequestBeganIsReportedToo() {
+        UsageDuty duty = duty();
+        for (long now = 20_000; now <= 23_000; now += 1_000) {
+            MemberReport report = new MemberReport("one", "1", DUE_MILLIS, Map.of(), Map.of());
+            mBoard.list(List.of(new MemberBoard.Listed("members/one.1", now, report)), now);
+        }
+        for (int i = 0; i < 4; i++) {
+            duty.pulse(lease());
+            mStore.resolveAll();
+        }
+        assertThat(mReported).containsExactly("6 {} 5", "7 {} 5").inOrder();
+    }
+
     private UsageDuty duty() {
         return new UsageDuty(
                 mStore,
