--- a/src/test/java/org/vanilladoor/platform/FaultSoakTests.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoakTests.java
@@ -23,8 +23,10 @@
         assertThat(FaultSoak.run(seed, FAULT_MILLIS, folder)).isEmpty();
     }
 
+    // 1003 and 1057 failed once: a stop struck a process that an earlier fault had killed, and the
+    // one after it was waited for. A fault of the soak, mended there.
     @ParameterizedTest
-    @ValueSource(longs = {1, 2})
+    @ValueSource(longs = {1, 2, 1003, 1057})
     void promisesHoldUnderFaultsFromOutside(long seed) throws IOException, InterruptedException {
         holds(seed);
     }
