--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -11,7 +11,7 @@
 import org.vanilladoor.route.ServiceDefinition;
 
 /**
- * Decides how many engines of a service read prompts for others, from the work that goes on.
+ * Decides how many engines of one service read prompts for others, from the work that goes on.
  *
  * <p>Invariants: at least {@link #LEAST_RUNNERS} engines run requests, in as many failure domains
  * as can be, before any is set to read; an engine keeps a role for {@link #DWELL_MILLIS}. Time and
--- a/src/main/java/org/vanilladoor/duty/RoleDuty.java
+++ b/src/main/java/org/vanilladoor/duty/RoleDuty.java
@@ -40,7 +40,7 @@
     private final EndpointDirectory mDirectory;
     private final MemberBoard mBoard;
     private final ServingState mState;
-    private final FleetPlan mPlan = FleetPlan.create();
+    private final Map<String, FleetPlan> mPlans = new HashMap<>();
     private final Map<String, EngineRole> mOpen = new HashMap<>();
     private long mHeldSinceMillis = Long.MAX_VALUE;
     private long mTerm;
@@ -80,9 +80,10 @@
 
     private void change(ServiceDefinition service, FleetLease lease, long now) {
         Work work = mBoard.work().getOrDefault(service.name(), Work.NONE);
-        for (FleetPlan.RoleChange change : mPlan.decide(service, endpoints(service), work, now)) {
+        FleetPlan plan = mPlans.computeIfAbsent(service.name(), name -> FleetPlan.create());
+        for (FleetPlan.RoleChange change : plan.decide(service, endpoints(service), work, now)) {
             if (mOpen.putIfAbsent(change.engine().name(), change.role()) == null) {
-                mPlan.ordered(change, now);
+                plan.ordered(change, now);
                 EventLog.write(
                         "role",
                         "change.decided",
--- a/src/test/java/org/vanilladoor/duty/RoleDutyTests.java
+++ b/src/test/java/org/vanilladoor/duty/RoleDutyTests.java
@@ -1,12 +1,14 @@
 package org.vanilladoor.duty;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -103,6 +105,29 @@
         assertThat(mDone).containsExactly("announce e-0 PREFILL false");
     }
 
+    @Test
+    void theWorkOfOneServiceDoesNotHoldBackTheEnginesOfAnother() {
+        mState.accept(
+                ServingConfiguration.of(
+                        2,
+                        List.of(),
+                        List.of(service(), service("busy")),
+                        new CallerLimits(1, 1),
+                        Map.of(),
+                        false));
+        Map<String, Work> work =
+                Map.of(Endpoints.SERVICE, new Work(3, 10), "busy", new Work(3, 600));
+        MemberReport report = new MemberReport("one", "1", 0, Map.of(), work);
+        mBoard.list(List.of(new MemberBoard.Listed("members/one.1", 2, report)), 1);
+        List<Endpoint> engines = mDirectory.all().stream().toList();
+        engines.forEach(engine -> mDirectory.remove(engine.name(), 0));
+        pulse();
+        engines.forEach(mDirectory::put);
+        pulse();
+        waitUntil(() -> mDone.size() == 3);
+        assertThat(mDone).contains("order e-2 PREFILL 4");
+    }
+
     private void pulse() {
         mControl.query(
                         () -> {
@@ -113,14 +138,20 @@
     }
 
     private static void waitUntil(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (!condition.getAsBoolean()) {
+            assertWithMessage("in time").that(System.nanoTime()).isLessThan(end);
             Thread.onSpinWait();
         }
     }
 
     private static ServiceDefinition service() {
+        return service(Endpoints.SERVICE);
+    }
+
+    private static ServiceDefinition service(String name) {
         return new ServiceDefinition(
-                Endpoints.SERVICE,
+                name,
                 500,
                 Optional.of(new ServiceDefinition.EngineDefinition(64, 600_000, 3_000)),
                 Optional.empty());
