--- a/src/test/java/org/vanilladoor/duty/RoleDutyTests.java
+++ b/src/test/java/org/vanilladoor/duty/RoleDutyTests.java
@@ -177,7 +177,7 @@
     }
 
     /** Engines that do as they are told at once. */
-    private final class Orders implements FleetOrders {
+    private final class Orders extends UnexpectedOrders {
         @Override
         public CompletableFuture<EngineReport> report(Endpoint engine) {
             return CompletableFuture.completedFuture(
@@ -202,16 +202,5 @@
             mDone.add("order " + engine.name() + " " + role + " " + accepted);
             return CompletableFuture.completedFuture(null);
         }
-
-        @Override
-        public CompletableFuture<Void> report(
-                long window, Map<String, Long> counts, Authority authority) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Boolean> scale(FleetOrder order, Authority authority) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
--- a/src/test/java/org/vanilladoor/duty/UsageDutyFuzzTests.java
+++ b/src/test/java/org/vanilladoor/duty/UsageDutyFuzzTests.java
@@ -12,8 +12,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import org.vanilladoor.engine.EngineRole;
-import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.provider.FakeObjectStore;
 import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.standin.ObjectTable;
@@ -33,7 +31,7 @@
     }
 
     /** Two processes that may both believe to hold the lease, and the platform that they tell. */
-    private static final class World implements FleetOrders {
+    private static final class World extends UnexpectedOrders {
         private static final int PROCESSES = 2;
         private final ObjectTable mTable = ObjectTable.create();
         private final List<Process> mProcesses = new ArrayList<>();
@@ -98,28 +96,6 @@
                     : CompletableFuture.failedFuture(new StoreUnavailableException("no answer"));
         }
 
-        @Override
-        public CompletableFuture<EngineReport> report(Endpoint engine) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Void> announce(
-                Endpoint engine, EngineRole role, boolean changing) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Void> changeRole(
-                Endpoint engine, EngineRole role, long accepted, Authority authority) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Boolean> scale(FleetOrder order, Authority authority) {
-            throw new UnsupportedOperationException();
-        }
-
         /** A process that reports, with its own view of the counts. */
         private final class Process implements FleetLease {
             private final String mName;
--- a/src/test/java/org/vanilladoor/duty/UsageReportTests.java
+++ b/src/test/java/org/vanilladoor/duty/UsageReportTests.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.Json;
-import org.vanilladoor.engine.EngineRole;
-import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.provider.FakeObjectStore;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoreUnavailableException;
@@ -151,7 +149,7 @@
     }
 
     /** Notes reports; orders don't come up here. */
-    private final class Reports implements FleetOrders {
+    private final class Reports extends UnexpectedOrders {
         @Override
         public CompletableFuture<Void> report(
                 long window, Map<String, Long> counts, Authority authority) {
@@ -160,27 +158,5 @@
                     ? CompletableFuture.completedFuture(null)
                     : CompletableFuture.failedFuture(new StoreUnavailableException("no answer"));
         }
-
-        @Override
-        public CompletableFuture<EngineReport> report(Endpoint engine) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Void> announce(
-                Endpoint engine, EngineRole role, boolean changing) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Void> changeRole(
-                Endpoint engine, EngineRole role, long accepted, Authority authority) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public CompletableFuture<Boolean> scale(FleetOrder order, Authority authority) {
-            throw new UnsupportedOperationException();
-        }
     }
 }
--- a/src/test/java/org/vanilladoor/entry/EntryProcess.java
+++ b/src/test/java/org/vanilladoor/entry/EntryProcess.java
@@ -4,9 +4,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.vanilladoor.command.ProgramProcess;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.demo.FreePorts;
 import org.vanilladoor.demo.LocalFleet;
@@ -17,11 +18,11 @@
 
 /** An entry in a process of its own, which a test can kill, stop and let go on. */
 final class EntryProcess implements AutoCloseable {
-    private final Process mProcess;
+    private final ProgramProcess mProcess;
     private final HostPort mCallers;
     private final HostPort mOperators;
 
-    private EntryProcess(Process process, HostPort callers, HostPort operators) {
+    private EntryProcess(ProgramProcess process, HostPort callers, HostPort operators) {
         mProcess = process;
         mCallers = callers;
         mOperators = operators;
@@ -33,21 +34,12 @@
         HostPort operators = FreePorts.find(1).get(0);
         Path file = Files.createTempFile("entry-", ".toml");
         Files.writeString(file, toml(settings, callers, operators));
-        Process process =
-                new ProcessBuilder(
-                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                                "-Xmx256m",
-                                "-XX:+UseSerialGC",
-                                "-XX:TieredStopAtLevel=1",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                "org.vanilladoor.command.Main",
-                                "entry",
-                                "--settings",
-                                file.toString())
-                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
-                        .redirectError(Path.of("target", settings.name() + ".log").toFile())
-                        .start();
+        ProgramProcess process =
+                ProgramProcess.start(
+                        List.of("-Xmx256m"),
+                        List.of("entry", "--settings", file.toString()),
+                        Path.of("target", settings.name() + ".log").toFile(),
+                        false);
         return new EntryProcess(process, callers, operators);
     }
 
@@ -71,31 +63,22 @@
 
     /** Kills the process; returns once it is gone. */
     void kill() {
-        mProcess.destroyForcibly();
-        await();
+        mProcess.kill();
     }
 
     /** Asks the process to stop. */
     void terminate() {
-        mProcess.destroy();
+        mProcess.terminate();
     }
 
     /** Waits for the end of the process. */
     void await() {
-        try {
-            mProcess.waitFor(60, TimeUnit.SECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        mProcess.await();
     }
 
     /** Freezes the process, or lets it go on. */
     void signal(String name) throws IOException {
-        try {
-            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        mProcess.signal(name);
     }
 
     @Override
--- a/src/test/java/org/vanilladoor/fleet/Endpoints.java
+++ b/src/test/java/org/vanilladoor/fleet/Endpoints.java
@@ -20,17 +20,7 @@
     }
 
     public static Endpoint leaving(Endpoint endpoint) {
-        return new Endpoint(
-                endpoint.name(),
-                endpoint.service(),
-                endpoint.address(),
-                endpoint.failureDomain(),
-                endpoint.slots(),
-                true,
-                endpoint.role(),
-                endpoint.changing(),
-                endpoint.reclaimable(),
-                endpoint.bornMillis());
+        return with(endpoint, true, endpoint.reclaimable(), endpoint.bornMillis());
     }
 
     public static Endpoint changing(Endpoint endpoint, EngineRole role) {
@@ -38,30 +28,25 @@
     }
 
     public static Endpoint reclaimable(Endpoint endpoint) {
-        return new Endpoint(
-                endpoint.name(),
-                endpoint.service(),
-                endpoint.address(),
-                endpoint.failureDomain(),
-                endpoint.slots(),
-                endpoint.leaving(),
-                endpoint.role(),
-                endpoint.changing(),
-                true,
-                endpoint.bornMillis());
+        return with(endpoint, endpoint.leaving(), true, endpoint.bornMillis());
     }
 
     public static Endpoint bornAt(Endpoint endpoint, long bornMillis) {
+        return with(endpoint, endpoint.leaving(), endpoint.reclaimable(), bornMillis);
+    }
+
+    private static Endpoint with(
+            Endpoint endpoint, boolean leaving, boolean reclaimable, long bornMillis) {
         return new Endpoint(
                 endpoint.name(),
                 endpoint.service(),
                 endpoint.address(),
                 endpoint.failureDomain(),
                 endpoint.slots(),
-                endpoint.leaving(),
+                leaving,
                 endpoint.role(),
                 endpoint.changing(),
-                endpoint.reclaimable(),
+                reclaimable,
                 bornMillis);
     }
 }
--- a/src/test/java/org/vanilladoor/platform/FaultSoak.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoak.java
@@ -1,6 +1,5 @@
 package org.vanilladoor.platform;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -10,6 +9,7 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import org.vanilladoor.common.Json;
 
 /**
  * Runs serving processes under faults that come from outside of them, in series and overlapping.
@@ -169,7 +169,7 @@
     }
 
     private void configure() {
-        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        ObjectNode spec = Json.newObject();
         spec.put("version", mVersion++);
         for (SoakRoute route : SoakRoute.values()) {
             spec.withArray("routes")
@@ -187,7 +187,7 @@
         spec.withArray("services").addObject().put("name", "app").put("max_conns", 100);
         for (String key : SoakRoute.KEYS) {
             ObjectNode team = spec.withArray("tenants").addObject();
-            team.put("name", key.replace("key", "team"));
+            team.put("name", SoakRoute.holderOf(key));
             var keys = team.putArray("api_keys");
             if (mKeys.contains(key)) {
                 keys.add(key);
--- a/src/test/java/org/vanilladoor/platform/FaultyLink.java
+++ b/src/test/java/org/vanilladoor/platform/FaultyLink.java
@@ -8,8 +8,10 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
 import java.util.function.Supplier;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.ThreadPools;
 
 /**
  * A loopback proxy that passes bytes on as well as its state lets it.
@@ -18,6 +20,7 @@
  * Safe for use by any thread.
  */
 final class FaultyLink implements AutoCloseable {
+    private static final ExecutorService THREADS = ThreadPools.traffic("faulty-link");
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final long DELAY_MILLIS = 120;
     private final ServerSocket mServer;
@@ -34,7 +37,7 @@
     static FaultyLink start(Supplier<HostPort> target) throws IOException {
         ServerSocket server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
         FaultyLink link = new FaultyLink(server, target);
-        run(link::accept);
+        THREADS.execute(link::accept);
         return link;
     }
 
@@ -78,8 +81,8 @@
             HostPort target = mTarget.get();
             Socket far = new Socket(target.host(), target.port());
             mSockets.add(far);
-            run(() -> pump(near, far, State.CUT_FORTH));
-            run(() -> pump(far, near, State.CUT_BACK));
+            THREADS.execute(() -> pump(near, far, State.CUT_FORTH));
+            THREADS.execute(() -> pump(far, near, State.CUT_BACK));
         } catch (IOException e) {
             // A target that is down looks like this to whoever connects to it.
             reset(near);
@@ -123,16 +126,9 @@
             socket.close();
         } catch (IOException e) {
             // It is closed already, which is what was wanted.
-            return;
         }
     }
 
-    private static void run(Runnable task) {
-        Thread thread = new Thread(task, "faulty-link");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** What becomes of bytes and connections. */
     enum State {
         WELL,
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -12,11 +12,14 @@
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
 import java.util.function.Function;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.ThreadPools;
 
 /** An endpoint that answers each request with the bytes that a test wants. */
 final class ScriptedEndpoint implements AutoCloseable {
+    private static final ExecutorService THREADS = ThreadPools.traffic("scripted-endpoint");
     private final ServerSocket mServer;
     private final Function<Received, Answer> mScript;
     private final List<Received> mReceived = new CopyOnWriteArrayList<>();
@@ -32,7 +35,7 @@
     static ScriptedEndpoint start(Function<Received, Answer> script) throws IOException {
         ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         ScriptedEndpoint endpoint = new ScriptedEndpoint(server, script);
-        run(endpoint::accept);
+        THREADS.execute(endpoint::accept);
         return endpoint;
     }
 
@@ -96,7 +99,7 @@
             try {
                 Socket socket = mServer.accept();
                 mSockets.add(socket);
-                run(() -> serve(socket));
+                THREADS.execute(() -> serve(socket));
             } catch (IOException e) {
                 return;
             }
@@ -137,12 +140,6 @@
         }
     }
 
-    private static void run(Runnable task) {
-        Thread thread = new Thread(task, "scripted-endpoint");
-        thread.setDaemon(true);
-        thread.start();
-    }
-
     /** What follows an answer's bytes. */
     enum End {
         KEEP,
--- a/src/test/java/org/vanilladoor/platform/SoakCaller.java
+++ b/src/test/java/org/vanilladoor/platform/SoakCaller.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import org.vanilladoor.common.HostPort;
 
@@ -132,7 +133,7 @@
         while (head.indexOf("\r\n\r\n") < 0) {
             head.append((char) next(input));
         }
-        return head.toString().toLowerCase(java.util.Locale.ROOT);
+        return head.toString().toLowerCase(Locale.ROOT);
     }
 
     private static String body(InputStream input, String head) throws IOException {
--- a/src/test/java/org/vanilladoor/platform/SoakEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/SoakEndpoint.java
@@ -1,9 +1,10 @@
 package org.vanilladoor.platform;
 
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.stream.IntStream;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.Json;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
@@ -43,11 +44,7 @@
     }
 
     static String events(String attempt) {
-        StringBuilder events = new StringBuilder();
-        for (int number = 1; number <= SoakRoute.EVENTS; number++) {
-            events.append(event(attempt, number));
-        }
-        return events.toString();
+        return String.join("", eachEvent(attempt));
     }
 
     FaultyLink link() {
@@ -88,7 +85,7 @@
     }
 
     private void register(String state) {
-        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        ObjectNode spec = Json.newObject();
         spec.put("service", SERVICE);
         spec.put("addr", address().toString());
         spec.put("zone", "a");
@@ -116,16 +113,14 @@
             return new Answer("", End.HANG);
         }
         if (received.head().startsWith("POST " + SoakRoute.FLOW.prefix())) {
-            String[] events = new String[SoakRoute.EVENTS];
-            for (int number = 1; number <= events.length; number++) {
-                events[number - 1] = event(attempt, number);
-            }
-            return ScriptedEndpoint.stream(received, End.KEEP, events);
+            return ScriptedEndpoint.stream(received, End.KEEP, eachEvent(attempt));
         }
         return ScriptedEndpoint.answer(received, 200, "", answer(attempt));
     }
 
-    private static String event(String attempt, int number) {
-        return "id: " + number + "\ndata: " + attempt + "\n\n";
+    private static String[] eachEvent(String attempt) {
+        return IntStream.rangeClosed(1, SoakRoute.EVENTS)
+                .mapToObj(number -> "id: " + number + "\ndata: " + attempt + "\n\n")
+                .toArray(String[]::new);
     }
 }
--- a/src/test/java/org/vanilladoor/platform/SoakPlatform.java
+++ b/src/test/java/org/vanilladoor/platform/SoakPlatform.java
@@ -1,22 +1,20 @@
 package org.vanilladoor.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.http.HttpExchange;
+import org.vanilladoor.http.HttpService;
 
 /**
  * Stands in for the operators' store and the interface for usage reports.
@@ -26,9 +24,14 @@
  */
 final class SoakPlatform implements AutoCloseable {
     private static final String PREFIX = "/api/objects/";
+    private static final int MOST_BYTES = 1_048_576;
+    private static final Duration IDLE = Duration.ofMinutes(1);
+
+    /** Longer than a process waits for an answer. */
+    private static final long SILENCE_MILLIS = 2_000;
+
     private static final long TURNS_MILLIS = 3_000;
-    private final HttpServer mServer;
-    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+    private final HttpService mService;
     private final SoakLedger mLedger;
     private final Map<String, Map<String, ObjectNode>> mKinds = new HashMap<>();
     private final List<Change> mChanges = new ArrayList<>();
@@ -40,22 +43,18 @@
     private final AtomicInteger mWatches = new AtomicInteger();
     private volatile State mState = State.WELL;
 
-    private SoakPlatform(HttpServer server, SoakLedger ledger) {
-        mServer = server;
+    private SoakPlatform(SoakLedger ledger) throws IOException {
         mLedger = ledger;
+        HostPort anyPort = new HostPort("127.0.0.1", 0);
+        mService = HttpService.start("soak-platform", anyPort, IDLE, null, this::answer);
     }
 
     static SoakPlatform start(SoakLedger ledger) throws IOException {
-        HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 100);
-        SoakPlatform platform = new SoakPlatform(server, ledger);
-        server.setExecutor(platform.mThreads);
-        server.createContext("/", platform::answer);
-        server.start();
-        return platform;
+        return new SoakPlatform(ledger);
     }
 
     HostPort address() {
-        return new HostPort("127.0.0.1", mServer.getAddress().getPort());
+        return mService.address();
     }
 
     /** Returns how many questions for changes came. */
@@ -99,52 +98,47 @@
 
     @Override
     public void close() {
-        mServer.stop(0);
-        mThreads.shutdownNow();
+        mService.close();
     }
 
     private void answer(HttpExchange exchange) throws IOException {
-        try (exchange) {
-            byte[] body = exchange.getRequestBody().readAllBytes();
-            if (mState == State.BUSY) {
-                exchange.sendResponseHeaders(503, -1);
-                return;
-            }
-            boolean unanswered = mState == State.LOSES_ANSWERS;
+        if (mState == State.BUSY) {
+            exchange.replyJson(503, Json.write(error("busy")));
+            return;
+        }
+        boolean unanswered = mState == State.LOSES_ANSWERS && !exchange.method().equals("GET");
+        byte[] body = exchange.readBody(MOST_BYTES);
+        try {
             Reply reply =
-                    exchange.getRequestURI().getPath().startsWith(PREFIX)
+                    exchange.path().startsWith(PREFIX)
                             ? storeCall(exchange, body)
                             : cloudCall(exchange, body);
-            if (unanswered && !exchange.getRequestMethod().equals("GET")) {
-                // Done, and the connection says nothing more.
-                Thread.sleep(2_000);
-                return;
+            if (unanswered) {
+                Thread.sleep(SILENCE_MILLIS);
+                // Ends the connection without an answer.
+                throw new IOException("the answer is lost");
             }
-            byte[] bytes = Json.write(reply.body());
-            exchange.sendResponseHeaders(reply.status(), bytes.length);
-            exchange.getResponseBody().write(bytes);
+            exchange.replyJson(reply.status(), Json.write(reply.body()));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            throw new IOException("the platform ends", e);
         }
     }
 
     private Reply storeCall(HttpExchange exchange, byte[] body) throws InterruptedException {
-        String[] path = exchange.getRequestURI().getPath().substring(PREFIX.length()).split("/");
-        Map<String, String> query = query(exchange.getRequestURI().getQuery());
-        if (exchange.getRequestMethod().equals("GET") && query.containsKey("watch")) {
-            long wait = Long.parseLong(query.getOrDefault("wait_ms", "0"));
-            return watch(path[0], Long.parseLong(query.get("watch")), wait);
+        String[] path = exchange.path().substring(PREFIX.length()).split("/");
+        Optional<Long> since = exchange.query("watch").map(Long::parseLong);
+        if (exchange.method().equals("GET") && since.isPresent()) {
+            long wait = exchange.query("wait_ms").map(Long::parseLong).orElse(0L);
+            return watch(path[0], since.get(), wait);
         }
-        JsonNode content =
-                body.length == 0
-                        ? JsonNodeFactory.instance.objectNode()
-                        : Json.read(body, JsonNode.class);
+        JsonNode content = body.length == 0 ? Json.newObject() : Json.read(body, JsonNode.class);
         synchronized (this) {
-            return switch (exchange.getRequestMethod()) {
+            return switch (exchange.method()) {
                 case "GET" -> path.length == 1 ? list(path[0]) : read(path[0], path[1]);
                 case "DELETE" -> {
                     remove(path[0], path[1]);
-                    yield new Reply(200, JsonNodeFactory.instance.objectNode());
+                    yield new Reply(200, Json.newObject());
                 }
                 default -> write(path, content);
             };
@@ -152,7 +146,7 @@
     }
 
     private Reply list(String kind) {
-        ObjectNode reply = JsonNodeFactory.instance.objectNode();
+        ObjectNode reply = Json.newObject();
         objects(kind).values().forEach(reply.putArray("items")::add);
         reply.put("has_more", false);
         reply.put("current_rev", mRevision);
@@ -197,7 +191,7 @@
                 if (since < mForgotten) {
                     return new Reply(410, error("gone"));
                 }
-                ObjectNode reply = JsonNodeFactory.instance.objectNode();
+                ObjectNode reply = Json.newObject();
                 var events = reply.putArray("events");
                 mChanges.stream()
                         .filter(change -> change.kind().equals(kind) && change.revision() > since)
@@ -217,19 +211,19 @@
     }
 
     private synchronized Reply cloudCall(HttpExchange exchange, byte[] body) {
-        String holder = exchange.getRequestHeaders().getFirst(Headers.HOLDER);
-        long term = Long.parseLong(exchange.getRequestHeaders().getFirst(Headers.TERM));
+        String holder = exchange.header(Headers.HOLDER).orElseThrow();
+        long term = exchange.header(Headers.TERM).map(Long::parseLong).orElseThrow();
         long now = System.currentTimeMillis();
         checkTurns(holder, term, now);
         JsonNode report = Json.read(body, JsonNode.class);
-        if (exchange.getRequestURI().getPath().equals("/usage")) {
+        if (exchange.path().equals("/usage")) {
             String counts = report.path("counts").toString();
             String before = mUsage.putIfAbsent(report.path("window_id").asLong(), counts);
             if (before != null && !before.equals(counts)) {
                 mLedger.broken("window " + report + " was reported before as " + before);
             }
         }
-        return new Reply(200, JsonNodeFactory.instance.objectNode());
+        return new Reply(200, Json.newObject());
     }
 
     private void checkTurns(String holder, long term, long now) {
@@ -262,7 +256,7 @@
     }
 
     private static ObjectNode object(String name, JsonNode spec) {
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
+        ObjectNode object = Json.newObject();
         object.putObject("meta").put("name", name);
         object.set("spec", spec);
         object.putNull("status");
@@ -278,16 +272,7 @@
     }
 
     private static JsonNode error(String text) {
-        return JsonNodeFactory.instance.objectNode().put("error", text);
-    }
-
-    private static Map<String, String> query(String text) {
-        Map<String, String> query = new HashMap<>();
-        for (String pair : text == null ? new String[0] : text.split("&")) {
-            int equals = pair.indexOf('=');
-            query.put(pair.substring(0, Math.max(0, equals)), pair.substring(equals + 1));
-        }
-        return query;
+        return Json.newObject().put("error", text);
     }
 
     /** How it answers. */
--- a/src/test/java/org/vanilladoor/platform/SoakRoute.java
+++ b/src/test/java/org/vanilladoor/platform/SoakRoute.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.platform;
 
 import java.util.List;
+import java.util.Locale;
 
 /** The routes that a soak serves. */
 enum SoakRoute {
@@ -25,12 +26,8 @@
         mPublic = isPublic;
     }
 
-    static SoakRoute of(String path) {
-        return valueOf(path.substring(1, path.indexOf('/', 1)).toUpperCase(java.util.Locale.ROOT));
-    }
-
     String prefix() {
-        return "/" + name().toLowerCase(java.util.Locale.ROOT) + "/";
+        return "/" + name().toLowerCase(Locale.ROOT) + "/";
     }
 
     String type() {
@@ -47,6 +44,11 @@
 
     /** Returns the team that endpoints have to be told. */
     String teamOf(String key) {
-        return mPublic ? "" : key.replace("key", "team");
+        return mPublic ? "" : holderOf(key);
+    }
+
+    /** Returns the team that holds a key. */
+    static String holderOf(String key) {
+        return key.replace("key", "team");
     }
 }
--- a/src/test/java/org/vanilladoor/platform/SoakVm.java
+++ b/src/test/java/org/vanilladoor/platform/SoakVm.java
@@ -1,16 +1,17 @@
 package org.vanilladoor.platform;
 
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.TimeUnit;
+import java.util.List;
+import org.vanilladoor.command.ProgramProcess;
 import org.vanilladoor.common.HostPort;
 
 /**
  * A VM whose serving process a soak starts, signals and starts again.
  *
- * <p>Invariant: only processes that it started are signalled, by their ids. Belongs to the soak's
- * thread.
+ * <p>Belongs to the soak's thread.
  */
 final class SoakVm implements AutoCloseable {
     private static final int CALLERS_PORT = 8405;
@@ -19,8 +20,8 @@
     private final String mHost;
     private final FaultyLink mStoreLink;
     private final Path mSettings;
-    private final Path mLog;
-    private Process mProcess;
+    private final File mLog;
+    private ProgramProcess mProcess;
     private int mStarts;
 
     private SoakVm(String name, String host, FaultyLink storeLink, Path folder) {
@@ -28,7 +29,7 @@
         mHost = host;
         mStoreLink = storeLink;
         mSettings = folder.resolve(name + ".toml");
-        mLog = folder.resolve(name + ".log");
+        mLog = folder.resolve(name + ".log").toFile();
     }
 
     /**
@@ -66,44 +67,28 @@
     void startProcess() throws IOException {
         mStarts++;
         mProcess =
-                new ProcessBuilder(
-                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                                "-Xmx128m",
-                                "-XX:+UseSerialGC",
-                                "-XX:TieredStopAtLevel=1",
-                                "-Dvanilladoor.log.format=events",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                "org.vanilladoor.command.Main",
-                                "serve",
-                                "--settings",
-                                mSettings.toString())
-                        .redirectErrorStream(true)
-                        .redirectOutput(ProcessBuilder.Redirect.appendTo(mLog.toFile()))
-                        .start();
+                ProgramProcess.start(
+                        List.of("-Xmx128m", "-Dvanilladoor.log.format=events"),
+                        List.of("serve", "--settings", mSettings.toString()),
+                        mLog,
+                        true);
     }
 
     boolean isRunning() {
-        return mProcess.isAlive();
+        return mProcess.isRunning();
     }
 
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, Long.toString(mProcess.pid())).start().waitFor();
+    void signal(String signal) throws IOException {
+        mProcess.signal(signal);
     }
 
-    /** Waits for the end of the process; returns whether it came in time. */
-    boolean awaitEnd(long millis) throws InterruptedException {
-        return mProcess.waitFor(millis, TimeUnit.MILLISECONDS);
-    }
-
-    void kill() throws InterruptedException {
-        mProcess.destroyForcibly();
-        mProcess.waitFor();
+    void kill() {
+        mProcess.kill();
     }
 
     @Override
     public void close() throws IOException {
-        mProcess.destroyForcibly();
+        mProcess.kill();
         mStoreLink.close();
     }
 
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
@@ -13,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.Json;
 import org.vanilladoor.transport.Links;
 
 /** How a kind of the store is followed. */
@@ -72,7 +72,7 @@
     }
 
     private void put(String name) {
-        mPlatform.put(KIND, name, JsonNodeFactory.instance.objectNode());
+        mPlatform.put(KIND, name, Json.newObject());
     }
 
     private void awaitKnown(String name) throws InterruptedException {
