--- a/src/main/java/org/vanilladoor/duty/FleetPlan.java
+++ b/src/main/java/org/vanilladoor/duty/FleetPlan.java
@@ -80,26 +80,25 @@
         int slots = service.engine().get().slots();
         Work reckoned = new Work(work.reading(), peakRunning(work.running(), nowMillis));
         int wanted = wantedReaders(usable.size(), readers.size(), reckoned, slots);
-        List<RoleChange> changes = new ArrayList<>();
-        List<Endpoint> left = new ArrayList<>(runners);
+        int missing = wanted - readers.size();
         boolean mayStopRunning =
                 readers.isEmpty() || nowMillis - mRunnersNeededMillis >= RISING_MILLIS;
-        for (int missing = wanted - readers.size(); missing > 0 && mayStopRunning; missing--) {
-            Optional<Endpoint> spare = mostCrowded(left, nowMillis);
-            spare.ifPresent(
-                    engine -> {
-                        left.remove(engine);
-                        changes.add(new RoleChange(engine, EngineRole.PREFILL));
-                    });
+        if (missing > 0) {
+            return mayStopRunning
+                    ? changes(runners, missing, EngineRole.PREFILL, nowMillis)
+                    : List.of();
         }
-        List<Endpoint> leftReaders = new ArrayList<>(readers);
-        for (int excess = readers.size() - wanted; excess > 0; excess--) {
-            mostCrowded(leftReaders, nowMillis)
-                    .ifPresent(
-                            engine -> {
-                                leftReaders.remove(engine);
-                                changes.add(new RoleChange(engine, EngineRole.DECODE));
-                            });
+        return changes(readers, -missing, EngineRole.DECODE, nowMillis);
+    }
+
+    private List<RoleChange> changes(
+            List<Endpoint> engines, int number, EngineRole role, long nowMillis) {
+        List<Endpoint> left = new ArrayList<>(engines);
+        List<RoleChange> changes = new ArrayList<>();
+        for (int i = 0; i < number; i++) {
+            Optional<Endpoint> engine = mostCrowded(left, nowMillis);
+            engine.ifPresent(left::remove);
+            engine.ifPresent(each -> changes.add(new RoleChange(each, role)));
         }
         return changes;
     }
--- a/src/main/java/org/vanilladoor/duty/MemberBoard.java
+++ b/src/main/java/org/vanilladoor/duty/MemberBoard.java
@@ -91,6 +91,7 @@
         mListed = true;
         mListedMillis = nowMillis;
         mFollowing = false;
+        mRosterSilent = false;
     }
 
     /** Takes in the holder's roster in place of a listing; empty if there is none. */
@@ -125,7 +126,7 @@
 
     /** Returns whether this process has to list all reports once it looks again. */
     public boolean needsListing() {
-        return mFollowing ? !mRosterSilent && isCandidate() : !mListed || isCandidate();
+        return !mRosterSilent && isCandidate();
     }
 
     /** Returns the roster to tell the others. */
--- a/src/main/java/org/vanilladoor/duty/MemberExchange.java
+++ b/src/main/java/org/vanilladoor/duty/MemberExchange.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.Json;
@@ -38,10 +37,11 @@
 
     private static final String ROSTER = "roster/fleet";
 
-    private final ObjectStore mStore;
     private final StoredReports mReports;
     private final MemberBoard mBoard;
     private final ServingState mState;
+    private final KeptObject mReport;
+    private final KeptObject mRoster;
     private final String mObject;
     private final String mMachine;
     private final String mIncarnation;
@@ -49,15 +49,11 @@
     private final WorkMeter mMeter;
     private final WallTime mWallTime;
     private final Map<String, Work> mRecent = new HashMap<>();
-    private long mVersion = ObjectStore.ABSENT;
     private long mWrittenMillis;
     private long mListedMillis;
     private long mRosterMillis;
-    private long mRosterVersion = ObjectStore.ABSENT;
     private long mBeat;
-    private boolean mWriting;
     private boolean mListing;
-    private boolean mRosterOpen;
 
     MemberExchange(
             ObjectStore store,
@@ -66,11 +62,12 @@
             ServingState state,
             Counts counts,
             Self self) {
-        mStore = store;
         mReports = reports;
         mBoard = board;
         mState = state;
         mObject = self.object();
+        mReport = new KeptObject(store, mObject);
+        mRoster = new KeptObject(store, ROSTER);
         mMachine = self.machine();
         mIncarnation = self.incarnation();
         mLedger = counts.ledger();
@@ -80,21 +77,23 @@
 
     void pulse(boolean holder) {
         long now = MonotonicClock.nowMillis();
-        if (!mWriting && now - mWrittenMillis >= mBoard.reportIntervalMillis()) {
+        if (!mReport.isOpen() && now - mWrittenMillis >= mBoard.reportIntervalMillis()) {
             write(now);
         }
         boolean firstAsHolder = holder && !mBoard.isListed();
         if (!mListing && (firstAsHolder || now - mListedMillis >= listPause(holder))) {
             look(holder, now);
         }
-        if (holder && mBoard.isListed() && !mRosterOpen && now - mRosterMillis >= ROSTER_MILLIS) {
+        if (holder
+                && mBoard.isListed()
+                && !mRoster.isOpen()
+                && now - mRosterMillis >= ROSTER_MILLIS) {
             tellRoster(now);
         }
         mState.setMachines(mBoard.living());
     }
 
     private void write(long now) {
-        mWriting = true;
         mWrittenMillis = now;
         mMeter.take(now).forEach((service, work) -> mRecent.merge(service, work, Work::followedBy));
         MemberReport report =
@@ -104,34 +103,23 @@
                         mWallTime.nowMillis(),
                         mLedger.counts(),
                         new HashMap<>(mRecent));
-        mStore.write(mObject, mVersion, Json.write(report))
-                .whenComplete(
-                        (version, failure) -> {
-                            mWriting = false;
-                            if (failure == null) {
-                                mVersion = version;
-                            } else {
-                                recover(failure);
+        mReport.write(Json.write(report))
+                .exceptionally(
+                        failure -> {
+                            Throwable cause = cause(failure);
+                            if (!(cause instanceof VersionConflictException)) {
+                                logUnwritten("report.unwritten", cause);
                             }
+                            return null;
                         });
     }
 
-    /** Finds out the version after a write of which the outcome is not known. */
-    private void recover(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        if (!(cause instanceof VersionConflictException)) {
-            EventLog.write("member", "report.unwritten", "reason", cause.getMessage());
-        }
-        mWriting = true;
-        mStore.read(mObject)
-                .whenComplete(
-                        (found, unread) -> {
-                            mWriting = false;
-                            if (unread == null) {
-                                mVersion =
-                                        found.map(StoredObject::version).orElse(ObjectStore.ABSENT);
-                            }
-                        });
+    private static Throwable cause(Throwable failure) {
+        return failure instanceof CompletionException ? failure.getCause() : failure;
+    }
+
+    private static void logUnwritten(String event, Throwable cause) {
+        EventLog.write("member", event, "reason", cause.getMessage());
     }
 
     private long listPause(boolean holder) {
@@ -172,36 +160,19 @@
         }
     }
 
-    /**
-     * Writes the roster; the version of another holder's roster is found out by a refused write.
-     */
+    /** Writes the roster; the first write of a new holder only finds out the version. */
     private void tellRoster(long now) {
-        mRosterOpen = true;
         mRosterMillis = now;
         // The wall time tells a new holder's beats from those of its forerunner.
         mBeat = Math.max(mBeat + 1, mWallTime.nowMillis());
-        mStore.write(ROSTER, mRosterVersion, Json.write(mBoard.roster(mBeat)))
-                .handle(
-                        (version, failure) ->
-                                failure == null
-                                        ? CompletableFuture.completedFuture(version)
-                                        : rosterVersion(failure))
-                .thenCompose(future -> future)
-                .whenComplete(
-                        (version, failure) -> {
-                            mRosterOpen = false;
-                            if (failure == null) {
-                                mRosterVersion = version;
-                            }
+        mRoster.write(Json.write(mBoard.roster(mBeat)))
+                .exceptionally(
+                        failure -> {
+                            logUnwritten("roster.unwritten", cause(failure));
+                            return null;
                         });
     }
 
-    private CompletableFuture<Long> rosterVersion(Throwable failure) {
-        EventLog.write("member", "roster.unwritten", "reason", failure.getMessage());
-        return mStore.read(ROSTER)
-                .thenApply(found -> found.map(StoredObject::version).orElse(ObjectStore.ABSENT));
-    }
-
     private void list(boolean holder) {
         mReports.list(mObject, !holder)
                 .whenComplete(
--- a/src/main/java/org/vanilladoor/gateway/WaitingLine.java
+++ b/src/main/java/org/vanilladoor/gateway/WaitingLine.java
@@ -101,22 +101,16 @@
 
     private void advanceOnce(long nowMillis) {
         boolean room = true;
-        for (Waiting each : inOrder(nowMillis)) {
-            if (room && mWaiting.contains(each)) {
-                room = each.attempt().tryNow();
-                if (room) {
-                    mWaiting.remove(each);
-                }
-            }
-        }
-        giveUpHopeless(nowMillis);
-    }
-
-    private void giveUpHopeless(long nowMillis) {
         int ahead = 0;
         for (Waiting each : inOrder(nowMillis)) {
+            if (!mWaiting.contains(each)) {
+                continue;
+            }
+            room = room && each.attempt().tryNow();
             long turnMillis = waitMillis(ahead + 1, nowMillis);
-            if (nowMillis + turnMillis > each.latestMillis()) {
+            if (room) {
+                mWaiting.remove(each);
+            } else if (nowMillis + turnMillis > each.latestMillis()) {
                 mWaiting.remove(each);
                 each.attempt().giveUp(ahead, turnMillis);
             } else {
--- a/src/main/java/org/vanilladoor/platform/EndpointDecoder.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointDecoder.java
@@ -1,9 +1,9 @@
 package org.vanilladoor.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.Json;
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.Endpoint;
 
@@ -21,7 +21,7 @@
 
     /** Returns the announcement of an engine's role, as {@link #decode} takes it. */
     static ObjectNode announcement(Endpoint endpoint, EngineRole role, boolean changing) {
-        ObjectNode announced = JsonNodeFactory.instance.objectNode();
+        ObjectNode announced = Json.newObject();
         announced.put(ROLE, phase(role));
         announced.put(CHANGING, changing);
         announced.put(BORN, endpoint.bornMillis());
--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -1,7 +1,6 @@
 package org.vanilladoor.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -58,9 +57,9 @@
 
     @Override
     public CompletableFuture<Long> write(String name, long expectedVersion, byte[] content) {
-        ObjectNode meta = JsonNodeFactory.instance.objectNode();
+        ObjectNode meta = Json.newObject();
         meta.put("name", plainName(name));
-        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ObjectNode body = Json.newObject();
         body.set("meta", meta);
         body.set("spec", Json.read(content, JsonNode.class));
         boolean creates = expectedVersion == ABSENT;
@@ -143,7 +142,7 @@
 
     /** Writes the status of an object of the platform, whatever its version. */
     CompletableFuture<Void> writeStatus(String kind, String name, JsonNode status) {
-        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        ObjectNode body = Json.newObject();
         body.putObject("meta").put("name", name);
         body.set("status", status);
         String path = PATH + kind + "/" + name + "/status";
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -125,7 +125,7 @@
 
         private JsonNode content() {
             if (mBody.size() == 0) {
-                return JsonNodeFactory.instance.objectNode();
+                return Json.newObject();
             }
             try {
                 return Json.read(mBody.toByteArray(), JsonNode.class);
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -70,28 +70,27 @@
     }
 
     private void next() {
-        long askedMillis = ExpiryClock.nowMillis();
-        mAskedMillis = askedMillis;
+        mAskedMillis = ExpiryClock.nowMillis();
         if (mListed) {
             mClient.changes(mKind, mRevision, mWaitMillis)
-                    .thenAccept(changes -> take(changes, askedMillis))
+                    .thenAccept(this::take)
                     .whenComplete((done, failure) -> proceed(failure));
         } else {
             mClient.listAll(mKind)
-                    .thenAccept(listing -> take(listing, askedMillis))
+                    .thenAccept(this::take)
                     .whenComplete((done, failure) -> proceed(failure));
         }
     }
 
-    private void take(ObjectClient.Listing listing, long askedMillis) {
+    private void take(ObjectClient.Listing listing) {
         back();
         mListener.listed(listing.items());
         mRevision = listing.revision();
         mListed = true;
-        mListener.confirmed(askedMillis);
+        mListener.confirmed(mAskedMillis);
     }
 
-    private void take(ObjectClient.Changes changes, long askedMillis) {
+    private void take(ObjectClient.Changes changes) {
         back();
         if (changes.forgotten()) {
             EventLog.write("store", "history.gone", "kind", mKind, "revision", mRevision);
@@ -107,7 +106,7 @@
             }
         }
         mRevision = changes.revision();
-        mListener.confirmed(askedMillis);
+        mListener.confirmed(mAskedMillis);
     }
 
     private void back() {
