Release the listening socket before close of an HTTP service returns

Cause: closing a ServerSocket returns while the thread in accept still holds the socket, so the system goes on establishing connections for a moment. HttpServer waits for its workers only, not for its listener.

Ruled out: waiting for the listener's exception callback (it isn't called if the thread isn't in accept at that moment); a delay after close.

Change: the listening socket counts the threads in accept, and its close waits until they have left. TLS is layered on the accepted connection as before.

--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -32,8 +32,8 @@
 /**
  * An HTTP/1.1 server on one address, with one traffic thread per connection.
  *
- * <p>Invariant: each request gets one response, and an exception of the handler is sent as a
- * problem document. All methods may be called by any thread.
+ * <p>Invariants: each request gets one response, and an exception of the handler is sent as a
+ * problem document; no connection is accepted once {@link #close} has returned. All methods may be called by any thread.
  */
 public final class HttpService implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(HttpService.class);
@@ -72,7 +72,7 @@
                 ServerBootstrap.bootstrap()
                         .setLocalAddress(InetAddress.getByName(address.host()))
                         .setListenerPort(address.port())
-                        .setSslContext(tls)
+                        .setServerSocketFactory(ListeningSocketFactory.create(tls))
                         .setHttp1Config(
                                 Http1Config.custom()
                                         .setMaxLineLength(MAXIMUM_LINE_BYTES)
