--- a/src/main/java/org/vanilladoor/command/Main.java
+++ b/src/main/java/org/vanilladoor/command/Main.java
@@ -13,6 +13,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.vanilladoor.common.InvalidInputException;
+import org.vanilladoor.logging.LineLoggerContextFactory;
 
 /**
  * Entry point of the program {@code vanilladoor}: dispatches to the command that the first argument
@@ -29,6 +30,7 @@
 
     /** Runs a command and exits with its exit code. */
     public static void main(String[] arguments) {
+        LineLoggerContextFactory.installIfChosen();
         System.exit(run(arguments, System.out, System.err).code());
     }
 
--- a/src/main/java/org/vanilladoor/command/WarmUpCommand.java
+++ b/src/main/java/org/vanilladoor/command/WarmUpCommand.java
@@ -8,16 +8,13 @@
 import org.vanilladoor.platform.WarmUp;
 
 /**
- * Starts a serving process without a platform, sends it requests and stops it.
+ * Starts a serving process in front of stand-ins, sends it requests and stops it.
  *
  * <p>The build runs it to record the classes that are loaded at a start in a class data sharing
  * archive, so that a process on a small VM is ready sooner after a restart. Keeps no state between
  * runs.
  */
 final class WarmUpCommand implements Command {
-    /** Callers' address and readiness address of the serving process. */
-    private static final int ADDRESSES = 2;
-
     @Override
     public String name() {
         return "warm-up";
@@ -35,7 +32,7 @@
 
     @Override
     public ExitCode run(CommandLine line, PrintStream output) throws IOException {
-        WarmUp.run(FreePorts.find(ADDRESSES), output);
+        WarmUp.run(FreePorts.find(WarmUp.ADDRESSES), output);
         return ExitCode.OK;
     }
 }
--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -33,7 +33,8 @@
  * An HTTP/1.1 server on one address, with one traffic thread per connection.
  *
  * <p>Invariants: each request gets one response, and an exception of the handler is sent as a
- * problem document; no connection is accepted once {@link #close} has returned. All methods may be called by any thread.
+ * problem document; no connection is accepted once {@link #close} has returned. All methods may be
+ * called by any thread.
  */
 public final class HttpService implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(HttpService.class);
--- a/src/main/java/org/vanilladoor/platform/WarmUp.java
+++ b/src/main/java/org/vanilladoor/platform/WarmUp.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.platform;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.HttpURLConnection;
 import java.net.URL;
@@ -8,30 +9,31 @@
 import org.vanilladoor.common.HostPort;
 
 /**
- * Starts a serving process without a platform, sends requests to it and stops it, so that the
- * classes that it needs are loaded.
+ * Starts a serving process in front of a {@link WarmUpPlatform}, sends requests of each kind to it
+ * and stops it, so that the classes that the first requests need are loaded.
  *
  * <p>Stateless and safe for use by any thread.
  */
 public final class WarmUp {
-    /** Number of requests; the first ones load classes, further requests would load no more. */
-    private static final int REQUEST_COUNT = 5;
+    /** Number of addresses that a warm-up needs. */
+    public static final int ADDRESSES = 3;
+
+    /** Maximum number of tries until the process has its configuration and its endpoints. */
+    private static final int MAXIMUM_TRIES = 100;
 
     private static final int READ_TIMEOUT_MILLIS = 2_000;
 
     private WarmUp() {}
 
     /**
-     * Runs the warm-up once and prints the HTTP status of each response.
+     * Runs the warm-up once and prints the HTTP status of each kind of request.
      *
-     * @param addresses two free addresses: for callers and for readiness checks
+     * @param addresses free addresses: for callers, for readiness checks and for the platform
      * @throws IOException if the process can't be started or reached
      */
     public static void run(List<HostPort> addresses, PrintStream output) throws IOException {
         String callerAddress = addresses.get(0).toString();
         String readinessAddress = addresses.get(1).toString();
-        // The process uses its own readiness address as the store's address, so that the classes of
-        // the store's client are loaded as well.
         PlatformSettings settings =
                 PlatformSettings.parse(
                         "warm-up",
@@ -43,22 +45,53 @@
                                 "front = \"" + callerAddress + "\"",
                                 "ready = \"" + readinessAddress + "\"",
                                 "[platform]",
-                                "addr = \"" + readinessAddress + "\"",
+                                "addr = \"" + addresses.get(2) + "\"",
+                                "[cloud]",
+                                "addr = \"" + addresses.get(2) + "\"",
                                 "[bounds]",
+                                "report_window_s = 1",
                                 "grace_s = 1"));
-        ServeProcess process = ServeProcess.start(settings);
-        for (int request = 0; request < REQUEST_COUNT; request++) {
-            output.println("status " + requestStatus(callerAddress, "/warm/up"));
+        try (WarmUpPlatform ignored = WarmUpPlatform.start(addresses.get(2), callerAddress)) {
+            ServeProcess process = ServeProcess.start(settings);
+            output.println("plain " + serve(callerAddress, WarmUpPlatform.PLAIN_PATH, 0));
+            output.println("short prompt " + serve(callerAddress, WarmUpPlatform.STREAM_PATH, 1));
+            output.println(
+                    "long prompt " + serve(callerAddress, WarmUpPlatform.STREAM_PATH, 10_000));
+            output.println("metrics " + status(readinessAddress, "/metrics", 0));
+            process.stop();
+        }
+    }
+
+    /** Sends a request until it is served and returns the last status. */
+    private static int serve(String address, String path, int promptTokens) throws IOException {
+        int status = status(address, path, promptTokens);
+        for (int tries = 1; tries < MAXIMUM_TRIES && !isServed(status); tries++) {
+            status = status(address, path, promptTokens);
         }
-        output.println("metrics " + requestStatus(readinessAddress, "/metrics"));
-        process.stop();
+        return status;
     }
 
-    private static int requestStatus(String address, String path) throws IOException {
+    private static boolean isServed(int status) {
+        return status == HttpURLConnection.HTTP_OK;
+    }
+
+    private static int status(String address, String path, int promptTokens) throws IOException {
         HttpURLConnection connection =
                 (HttpURLConnection) new URL("http://" + address + path).openConnection();
         connection.setReadTimeout(READ_TIMEOUT_MILLIS);
         connection.setRequestProperty(Headers.ATTEMPT_IDENTIFIER, "warm-up");
-        return connection.getResponseCode();
+        connection.setRequestProperty(Headers.API_KEY, WarmUpPlatform.KEY);
+        if (promptTokens > 0) {
+            connection.setRequestProperty(Headers.MODEL, "warm-up");
+            connection.setRequestProperty(Headers.TOKEN_COUNTS, promptTokens + ",1");
+            connection.setRequestProperty(Headers.PROMPT_PARTS, "a:" + promptTokens);
+        }
+        int status = connection.getResponseCode();
+        if (isServed(status)) {
+            try (InputStream body = connection.getInputStream()) {
+                body.readAllBytes();
+            }
+        }
+        return status;
     }
 }
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -76,6 +76,7 @@
                                         .build())
                         .setHttpProcessor(
                                 HttpProcessorBuilder.create().add(new RequestContent()).build())
+                        .setTlsStrategy(PlainConnections.STRATEGY)
                         .setMaxTotal(MAXIMUM_CONNECTIONS)
                         .setDefaultMaxPerRoute(MAXIMUM_CONNECTIONS)
                         .setExceptionCallback(
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -78,6 +78,7 @@
                                         .build())
                         .setHttpProcessor(
                                 HttpProcessorBuilder.create().add(new ResponseContent()).build())
+                        .setTlsStrategy(PlainConnections.STRATEGY)
                         .setStreamListener(current)
                         .setIOSessionDecorator(sessions::decorate)
                         .setIOSessionListener(sessions)
--- a/src/test/java/org/vanilladoor/command/ServeCommandTests.java
+++ b/src/test/java/org/vanilladoor/command/ServeCommandTests.java
@@ -36,7 +36,9 @@
     void warmUpStartsServesAndStops() {
         assertThat(run("warm-up")).isEqualTo(ExitCode.OK);
         String output = mOutput.toString(StandardCharsets.UTF_8);
-        assertThat(output).contains("status 503");
+        assertThat(output).contains("plain 200");
+        assertThat(output).contains("short prompt 200");
+        assertThat(output).contains("long prompt 200");
         assertThat(output).contains("metrics 200");
     }
 
