Confirm the configuration up to the end of the store's wait

Cause: each VM polls the configuration for 1.5 s at a time, 0.67 calls a second, since a confirmation counted from when the poll was sent: its age reached twice the wait, and keyed requests end at 4 s. A store that reports no change has waited for the whole time first, so its response confirms that later moment. A response that comes earlier (a watch that was cut off) still counts from the request.

Change: confirmations count so, polls wait 2.5 s, and the first call after a failed one asks for an immediate response, so that a silent connection costs 3.5 s instead of 5 s until the next confirmation.

Tests: the age after an unchanged response, and after a change.

--- a/src/main/java/org/vanilladoor/gateway/ServingState.java
+++ b/src/main/java/org/vanilladoor/gateway/ServingState.java
@@ -9,9 +9,8 @@
  * The state that decides whether requests are served: the configuration in force and the time of
  * its last confirmation, whether endpoints are listed, and whether the process is stopping.
  *
- * <p>Invariants: the configuration version never decreases. The confirmation time is the time at
- * which a request to the store was sent whose response stated that the version in force is the
- * newest. The setters are confined to the control thread; {@link #markStopping} and the queries are
+ * <p>Invariants: the configuration version never decreases. At the confirmation time, the version in
+ * force was the newest one in the store. The setters are confined to the control thread; {@link #markStopping} and the queries are
  * safe for use by any thread.
  */
 public final class ServingState {
@@ -51,11 +50,10 @@
     /**
      * Records that the store confirmed the configuration in force as the newest.
      *
-     * @param requestedMillis time at which the request to the store was sent, from {@link
-     *     ExpiryClock}
+     * @param confirmedMillis time at which it was the newest, from {@link ExpiryClock}
      */
-    public void confirmNewest(long requestedMillis) {
-        mConfirmedMillis = Math.max(mConfirmedMillis, requestedMillis);
+    public void confirmNewest(long confirmedMillis) {
+        mConfirmedMillis = Math.max(mConfirmedMillis, confirmedMillis);
     }
 
     /** Records that the endpoints have been listed. */
--- a/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
+++ b/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
@@ -63,9 +63,9 @@
     }
 
     @Override
-    public void onConfirmed(long requestedMillis) {
+    public void onConfirmed(long confirmedMillis) {
         if (mLatestDecodable) {
-            mState.confirmNewest(requestedMillis);
+            mState.confirmNewest(confirmedMillis);
         }
     }
 
--- a/src/main/java/org/vanilladoor/platform/EndpointFeed.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointFeed.java
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void onConfirmed(long requestedMillis) {
+    public void onConfirmed(long confirmedMillis) {
         // Nothing to do: the last known endpoints are used, however old the information is.
     }
 
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -34,7 +34,7 @@
  */
 public final class ServeProcess {
     /** Maximum time for which the store waits for a newer configuration before it responds. */
-    private static final long CONFIGURATION_WAIT_MILLIS = 1_500;
+    private static final long CONFIGURATION_WAIT_MILLIS = 2_500;
 
     /** Maximum time for which the store waits for changed endpoints before it responds. */
     private static final long ENDPOINT_WAIT_MILLIS = 2_500;
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -21,6 +21,9 @@
     /** Minimum delay after a failed call; the delay is random and up to twice as long. */
     private static final int MINIMUM_RETRY_DELAY_MILLIS = 100;
 
+    /** Wait of the first call after a failed one, so that its response confirms at once. */
+    private static final long MINIMUM_WAIT_MILLIS = 1;
+
     private final ControlLoop mControl;
     private final ObjectClient mClient;
     private final String mKind;
@@ -78,8 +81,9 @@
     private void poll() {
         mRequestedMillis = ExpiryClock.nowMillis();
         if (mListed) {
-            mClient.awaitChanges(mKind, mRevision, mWaitMillis)
-                    .thenAccept(this::applyChanges)
+            long waitMillis = mUnavailable ? MINIMUM_WAIT_MILLIS : mWaitMillis;
+            mClient.awaitChanges(mKind, mRevision, waitMillis)
+                    .thenAccept(changes -> applyChanges(changes, waitMillis))
                     .whenComplete((ignored, failure) -> scheduleNextPoll(failure));
         } else {
             mClient.listAll(mKind)
@@ -96,7 +100,7 @@
         mListener.onConfirmed(mRequestedMillis);
     }
 
-    private void applyChanges(ObjectClient.Changes changes) {
+    private void applyChanges(ObjectClient.Changes changes, long waitMillis) {
         markAvailable();
         if (changes.historyGone()) {
             EventLog.write("store", "history.gone", "kind", mKind, "revision", mRevision);
@@ -112,7 +116,19 @@
             }
         }
         mRevision = changes.revision();
-        mListener.onConfirmed(mRequestedMillis);
+        mListener.onConfirmed(
+                confirmedMillis(changes.events().isEmpty(), waitMillis, ExpiryClock.nowMillis()));
+    }
+
+    /**
+     * Returns the time at which the known objects were the newest.
+     *
+     * <p>A store that reports no change has waited for the whole time before it responded, unless
+     * the response arrives earlier than that.
+     */
+    private long confirmedMillis(boolean isUnchanged, long waitMillis, long nowMillis) {
+        boolean hasWaited = nowMillis - mRequestedMillis >= waitMillis;
+        return isUnchanged && hasWaited ? mRequestedMillis + waitMillis : mRequestedMillis;
     }
 
     private void markAvailable() {
@@ -152,12 +168,11 @@
         void onRemoved(String name);
 
         /**
-         * Called after the objects or changes of a response have been reported; they were the
-         * newest when the request was sent.
+         * Called after the objects or changes of a response have been reported.
          *
-         * @param requestedMillis time at which the request was sent, from {@link ExpiryClock}
+         * @param confirmedMillis time at which they were the newest, from {@link ExpiryClock}
          */
-        void onConfirmed(long requestedMillis);
+        void onConfirmed(long confirmedMillis);
 
         /** Called after each successful call, before its result is reported. */
         void onStoreAvailable();
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.ExpiryClock;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.transport.ConnectionPool;
 
@@ -19,8 +21,10 @@
 class StoreFeedTests {
     private static final String KIND = "servers";
     private static final long MINIMUM_INTERVAL_MILLIS = 200;
+    private static final long WAIT_MILLIS = 2_000;
     private final ControlLoop mControl = ControlLoop.start("feed-tests");
     private final Set<String> mKnownNames = ConcurrentHashMap.newKeySet();
+    private final List<Long> mConfirmedMillis = new CopyOnWriteArrayList<>();
     private ConnectionPool mConnections;
     private SoakPlatform mPlatform;
 
@@ -35,7 +39,7 @@
                 mControl,
                 client,
                 KIND,
-                2_000,
+                WAIT_MILLIS,
                 () -> MINIMUM_INTERVAL_MILLIS,
                 new SplittableRandom(1),
                 new NameRecorder());
@@ -74,6 +78,36 @@
         assertThat(mKnownNames).containsExactly("before", "after");
     }
 
+    /**
+     * A confirmation as old as the request would make the configuration look older by the whole
+     * wait, and the calls would have to be that much more frequent.
+     */
+    @Test
+    void aStoreThatReportsNoChangeConfirmsUpToTheEndOfItsWait() throws InterruptedException {
+        put("only");
+        awaitKnown("only");
+        int before = mConfirmedMillis.size();
+        while (mConfirmedMillis.size() <= before) {
+            Thread.sleep(5);
+        }
+        long ageMillis = ExpiryClock.nowMillis() - mConfirmedMillis.get(before);
+        assertThat(ageMillis).isLessThan(WAIT_MILLIS);
+    }
+
+    @Test
+    void aChangeConfirmsOnlyUpToTheRequest() throws InterruptedException {
+        put("first");
+        awaitKnown("first");
+        int before = mConfirmedMillis.size();
+        Thread.sleep(WAIT_MILLIS / 2);
+        long putMillis = ExpiryClock.nowMillis();
+        put("second");
+        while (mConfirmedMillis.size() <= before) {
+            Thread.sleep(5);
+        }
+        assertThat(mConfirmedMillis.get(before)).isLessThan(putMillis);
+    }
+
     private void put(String name) {
         mPlatform.put(KIND, name, Json.newObject());
     }
@@ -103,8 +137,8 @@
         }
 
         @Override
-        public void onConfirmed(long requestedMillis) {
-            // These tests check names only.
+        public void onConfirmed(long confirmedMillis) {
+            mConfirmedMillis.add(confirmedMillis);
         }
 
         @Override
