End a response that never ends at once

Cause: the size of an endpoint's head, chunk headers, trailers and event was not limited, and a body over its limit was read on until the deadline. A faulty endpoint could fill the memory of every VM that called it, and its callers waited for their whole time.

Ruled out: a time limit alone (16 MB arrive in milliseconds); counting bytes of whole streams (long streams are valid).

Change: lines and headers of responses are limited as those of requests are; an event has at most 1 MiB, another body 16 MiB. Beyond that the connection is closed and the response is broken: the outcome is unknown, a repeatable request goes elsewhere, as after a cut response.

--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -91,10 +91,7 @@
         }
         EndpointResponse response = mContext.wireFormat().decodeResponseHead(head);
         if (!response.identifier().equals(mRequest.identifier())) {
-            tryEnd();
-            mOutgoingCall.abandon();
-            mListener.onFailure(
-                    new CallFailure(true, false, "the response belongs to another request"));
+            endWithInvalidResponse("the response belongs to another request");
             return;
         }
         response.load()
@@ -110,11 +107,17 @@
 
     @Override
     public void onData(byte[] bytes) {
-        if (!mEnded) {
-            mListener.onData(bytes);
+        if (!mEnded && !mListener.onData(bytes)) {
+            endWithInvalidResponse("the response is larger than any valid one");
         }
     }
 
+    /** Closes the connection, on which the endpoint may go on sending for ever. */
+    private void endWithInvalidResponse(String reason) {
+        abandon();
+        mListener.onFailure(new CallFailure(true, false, reason));
+    }
+
     @Override
     public void onComplete() {
         if (tryEnd()) {
@@ -150,8 +153,12 @@
         /** Called with the response head, once it is known to belong to this call. */
         void onHead(HttpResponse head, EndpointResponse response);
 
-        /** Called with each part of the response body. */
-        void onData(byte[] bytes);
+        /**
+         * Called with each part of the response body.
+         *
+         * @return whether the response may still be valid; otherwise the call ends as failed
+         */
+        boolean onData(byte[] bytes);
 
         /** Called when the response is complete. */
         void onComplete();
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -18,13 +18,16 @@
  */
 final class EndpointResponseHandler implements EndpointExchange.Listener {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
+
+    /** Maximum size of one event of a stream; events have a few kilobytes. */
+    private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
     private final GatewayContext mContext;
     private final RequestExecution mExecution;
     private final EndpointCall.Stage mStage;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private EndpointResponse mResponse;
     private HttpResponse mHead;
-    private boolean mBodyTooLarge;
 
     EndpointResponseHandler(
             GatewayContext context, RequestExecution execution, EndpointCall.Stage stage) {
@@ -40,23 +43,21 @@
     }
 
     @Override
-    public void onData(byte[] bytes) {
+    public boolean onData(byte[] bytes) {
         boolean isEventStream =
                 mStage == EndpointCall.Stage.RUN
                         && mExecution.route().kind().isStreaming()
                         && mResponse.isSuccess()
                         && mResponse.isSigned();
         if (!isEventStream) {
-            mBodyTooLarge |= mBody.size() + bytes.length > MAXIMUM_RESPONSE_BYTES;
-            if (!mBodyTooLarge) {
-                mBody.writeBytes(bytes);
-            }
-            return;
+            mBody.writeBytes(bytes);
+            return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
         }
         byte[] completeEvents = mExecution.events().add(bytes);
         if (completeEvents.length > 0) {
             forwardEvents(completeEvents);
         }
+        return mExecution.events().partialBytes() <= MAXIMUM_EVENT_BYTES;
     }
 
     private void forwardEvents(byte[] events) {
@@ -120,11 +121,6 @@
             }
             return;
         }
-        if (mBodyTooLarge) {
-            handleBrokenResponse(
-                    endpoint, "the response is larger than " + MAXIMUM_RESPONSE_BYTES + " bytes");
-            return;
-        }
         if (!mResponse.isSigned()) {
             handleBrokenResponse(
                     endpoint,
--- a/src/main/java/org/vanilladoor/gateway/EventAssembler.java
+++ b/src/main/java/org/vanilladoor/gateway/EventAssembler.java
@@ -42,6 +42,11 @@
         mPartial.reset();
     }
 
+    /** Returns the size of the event that has begun but is not complete. */
+    int partialBytes() {
+        return mPartial.size();
+    }
+
     /** Returns whether the bytes added so far end at the end of an event. */
     boolean endsAtEventBoundary() {
         return mPartial.size() == 0;
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
@@ -48,6 +49,11 @@
 
     private static final int KEEP_ALIVE_PROBES = 3;
 
+    /** Maximum length of a line in the head, the chunk headers or the trailers of a response. */
+    private static final int MAXIMUM_LINE_BYTES = 64 * 1024;
+
+    private static final int MAXIMUM_HEADERS = 200;
+
     /** Socket timeout of HttpCore; the timeouts of the callers of this class are far shorter. */
     private static final Timeout SOCKET_TIMEOUT = Timeout.ofMinutes(2);
 
@@ -74,6 +80,11 @@
                                         .setTcpKeepInterval(KEEP_ALIVE_PROBE_SECONDS)
                                         .setTcpKeepCount(KEEP_ALIVE_PROBES)
                                         .build())
+                        .setHttp1Config(
+                                Http1Config.custom()
+                                        .setMaxLineLength(MAXIMUM_LINE_BYTES)
+                                        .setMaxHeaderCount(MAXIMUM_HEADERS)
+                                        .build())
                         .setHttpProcessor(
                                 HttpProcessorBuilder.create().add(new RequestContent()).build())
                         .setTlsStrategy(PlainConnections.STRATEGY)
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -84,7 +84,8 @@
         return new Answer(text + (end == End.KEEP ? "0\r\n\r\n" : ""), end);
     }
 
-    private static String head(Received request, int status) {
+    /** Returns the start of a head with the request's identifier and the endpoint's signature. */
+    static String head(Received request, int status) {
         return "HTTP/1.1 "
                 + status
                 + " Status\r\nVanilladoor-Attempt-Id: "
@@ -124,6 +125,10 @@
                 Answer answer = mScript.apply(request);
                 socket.getOutputStream().write(answer.text().getBytes(StandardCharsets.US_ASCII));
                 socket.getOutputStream().flush();
+                while (answer.end() == End.ENDLESS) {
+                    socket.getOutputStream()
+                            .write(answer.repeated().getBytes(StandardCharsets.US_ASCII));
+                }
                 if (answer.end() == End.HANG) {
                     mConnectionsClosedByPeer += input.read() < 0 ? 1 : 0;
                     return;
@@ -157,7 +162,9 @@
         /** Closes the connection with a reset. */
         RESET,
         /** Sends nothing more and waits until the peer closes the connection. */
-        HANG
+        HANG,
+        /** Repeats the rest of the answer until the peer closes the connection. */
+        ENDLESS
     }
 
     /**
@@ -165,8 +172,18 @@
      *
      * @param text bytes to send, which need not be a valid response
      * @param end what the endpoint does with the connection afterwards
+     * @param repeated bytes that follow again and again if the answer is endless
      */
-    record Answer(String text, End end) {}
+    record Answer(String text, End end, String repeated) {
+        Answer(String text, End end) {
+            this(text, end, "");
+        }
+
+        /** Returns an answer that goes on until the peer closes the connection. */
+        static Answer endless(String start, String repeated) {
+            return new Answer(start, End.ENDLESS, repeated);
+        }
+    }
 
     /**
      * A received request.
