Check the responses to this system's own calls, and survive what can't be handled

Causes, found by reading: - Own calls to endpoints share connections with forwarded requests. A second copy of a caller's response, late, was taken for the response to a report, an order or a release; a release that got it left the connection one response behind. - The body of a response to an own call had no limit, a release no time limit. - A change in the store that a listener can't handle was asked for again and again, and no later change arrived. - An Error in a repeated task of the control loop ended that task for good. - order.failed had no reason.

Change: a response with an attempt's identifier ends an own call and closes its connection; bodies end at 8 MiB, releases after a second; a change that can't be handled is logged and skipped; the loop logs Errors and goes on; a refused order carries the platform's words.

Before: the new test of a skipped change never ended, the one of the loop is not written; after: PlatformCallsTests and StoreFeedTests pass.

--- a/src/main/java/org/vanilladoor/common/ControlLoop.java
+++ b/src/main/java/org/vanilladoor/common/ControlLoop.java
@@ -99,7 +99,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // An error, too, must not end the repeated tasks of the loop.
                 LOG.error("control: A task failed.", e);
             }
         };
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.gateway;
 
+import java.time.Duration;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
@@ -14,6 +15,9 @@
  * connection; the load is decremented exactly once. Confined to the control thread.
  */
 final class EndpointExchange implements OutgoingListener {
+    /** Time limit of the call that releases a KV cache. */
+    private static final long RELEASE_TIMEOUT_MILLIS = 1_000;
+
     private final GatewayContext mContext;
     private final CallerRequest mRequest;
     private final EndpointCall mCall;
@@ -56,13 +60,18 @@
      */
     static void releaseKvCache(
             GatewayContext context, KvCacheReference kvCache, long connectTimeoutMillis) {
-        context.connections()
-                .send(
-                        kvCache.endpoint().address(),
-                        connectTimeoutMillis,
-                        context.wireFormat().encodeKvCacheRelease(kvCache),
-                        new byte[0],
-                        new IgnoringListener());
+        ReleaseListener listener = new ReleaseListener(context.wireFormat());
+        OutgoingCall release =
+                context.connections()
+                        .send(
+                                kvCache.endpoint().address(),
+                                connectTimeoutMillis,
+                                context.wireFormat().encodeKvCacheRelease(kvCache),
+                                new byte[0],
+                                listener);
+        listener.mRelease = release;
+        context.control()
+                .schedule(Duration.ofMillis(RELEASE_TIMEOUT_MILLIS), listener::abandonUnlessDone);
     }
 
     Endpoint endpoint() {
@@ -167,11 +176,24 @@
         void onFailure(CallFailure failure);
     }
 
-    /** Ignores the outcome of a call. */
-    private static final class IgnoringListener implements OutgoingListener {
+    /**
+     * Ignores the outcome of a release, but closes a connection on which the response to another
+     * call arrives.
+     */
+    private static final class ReleaseListener implements OutgoingListener {
+        private final WireFormat mWireFormat;
+        private OutgoingCall mRelease;
+        private boolean mDone;
+
+        ReleaseListener(WireFormat wireFormat) {
+            mWireFormat = wireFormat;
+        }
+
         @Override
         public void onHead(HttpResponse head) {
-            // The status is not used.
+            if (!mWireFormat.decodeResponseHead(head).identifier().isEmpty()) {
+                abandonUnlessDone();
+            }
         }
 
         @Override
@@ -181,12 +203,20 @@
 
         @Override
         public void onComplete() {
-            // Nothing to do.
+            mDone = true;
         }
 
         @Override
         public void onFailure(CallFailure failure) {
             // The endpoint releases the KV cache after its own time limit.
+            mDone = true;
+        }
+
+        void abandonUnlessDone() {
+            if (!mDone) {
+                mDone = true;
+                mRelease.abandon();
+            }
         }
     }
 }
--- a/src/main/java/org/vanilladoor/gateway/ServingState.java
+++ b/src/main/java/org/vanilladoor/gateway/ServingState.java
@@ -9,9 +9,9 @@
  * The state that decides whether requests are served: the configuration in force and the time of
  * its last confirmation, whether endpoints are listed, and whether the process is stopping.
  *
- * <p>Invariants: the configuration version never decreases. At the confirmation time, the version in
- * force was the newest one in the store. The setters are confined to the control thread; {@link #markStopping} and the queries are
- * safe for use by any thread.
+ * <p>Invariants: the configuration version never decreases. At the confirmation time, the version
+ * in force was the newest one in the store. The setters are confined to the control thread; {@link
+ * #markStopping} and the queries are safe for use by any thread.
  */
 public final class ServingState {
     /**
--- a/src/main/java/org/vanilladoor/leader/ScalingTask.java
+++ b/src/main/java/org/vanilladoor/leader/ScalingTask.java
@@ -96,7 +96,14 @@
                                     "term",
                                     mTerm,
                                     "reason",
-                                    failure == null ? "-" : failure.getMessage());
+                                    reason(succeeded, failure));
                         });
     }
+
+    private static String reason(boolean succeeded, Throwable failure) {
+        if (failure != null) {
+            return failure.getMessage();
+        }
+        return succeeded ? "-" : "the platform has none available";
+    }
 }
--- a/src/main/java/org/vanilladoor/logging/LineLogger.java
+++ b/src/main/java/org/vanilladoor/logging/LineLogger.java
@@ -38,8 +38,7 @@
      * @param level least severe level that is written
      * @param messages creates the messages; null for the default
      */
-    static LineLogger create(
-            String name, Level level, MessageFactory messages, LineWriter writer) {
+    static LineLogger create(String name, Level level, MessageFactory messages, LineWriter writer) {
         return new LineLogger(name, level, messages, writer);
     }
 
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -24,12 +24,21 @@
  * Makes this system's own calls to the platform and to endpoints, as opposed to calls that forward
  * a caller's request. Bodies are JSON.
  *
- * <p>Invariants: no call is retried; a call without a response in time fails with {@link
+ * <p>Invariants: no call is retried; a call without a valid response in time fails with {@link
  * StoreUnavailableException}, and its connection is closed, since it can't be used for another
- * call. Methods may be called by any thread; futures complete on the control thread.
+ * call. A response with the identifier of a caller's attempt is not valid: an endpoint may send the
+ * response to a forwarded request again, when this system has since reused the connection. Methods
+ * may be called by any thread; futures complete on the control thread.
  */
 final class PlatformCalls {
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
+
+    /** Maximum size of a response; a page of objects has about 1 MB. */
+    private static final int MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+    /** Maximum number of characters of a response that a message contains. */
+    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
+
     private final ControlLoop mControl;
     private final ConnectionPool mConnections;
 
@@ -63,6 +72,7 @@
                     OutgoingCall call =
                             mConnections.send(
                                     address, CONNECT_TIMEOUT_MILLIS, request, bodyBytes, collector);
+                    collector.mCall = call;
                     mControl.schedule(
                             Duration.ofMillis(timeoutMillis),
                             () -> {
@@ -93,7 +103,11 @@
          */
         JsonNode requireSuccess() {
             if (status >= HttpStatus.SC_REDIRECTION) {
-                throw new StoreUnavailableException(description + " failed with status " + status);
+                String text = body.toString();
+                String quoted =
+                        text.substring(0, Math.min(text.length(), MAXIMUM_QUOTED_CHARACTERS));
+                throw new StoreUnavailableException(
+                        description + " failed with status " + status + " " + quoted);
             }
             return body;
         }
@@ -104,6 +118,7 @@
         private final String mDescription;
         private final CompletableFuture<Response> mResult;
         private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private OutgoingCall mCall;
         private int mStatus;
 
         ResponseCollector(String description, CompletableFuture<Response> result) {
@@ -114,11 +129,23 @@
         @Override
         public void onHead(HttpResponse head) {
             mStatus = head.getCode();
+            if (head.containsHeader(Headers.ATTEMPT_IDENTIFIER)) {
+                reject("the response belongs to a caller's request");
+            }
         }
 
         @Override
         public void onData(byte[] bytes) {
             mBody.writeBytes(bytes);
+            if (mBody.size() > MAXIMUM_RESPONSE_BYTES) {
+                reject("the response is larger than " + MAXIMUM_RESPONSE_BYTES + " bytes");
+            }
+        }
+
+        private void reject(String reason) {
+            mCall.abandon();
+            mResult.completeExceptionally(
+                    new StoreUnavailableException(mDescription + ": " + reason));
         }
 
         @Override
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -107,17 +107,32 @@
             mListed = false;
             return;
         }
-        for (JsonNode event : changes.events()) {
-            JsonNode object = event.path("object");
+        changes.events().forEach(this::applyChange);
+        mRevision = changes.revision();
+        mListener.onConfirmed(
+                confirmedMillis(changes.events().isEmpty(), waitMillis, ExpiryClock.nowMillis()));
+    }
+
+    /** Passes a change on; one that can't be handled is skipped, so that later ones arrive. */
+    private void applyChange(JsonNode event) {
+        JsonNode object = event.path("object");
+        try {
             if (event.path("tombstone").asBoolean(false)) {
                 mListener.onRemoved(ObjectClient.nameOf(object));
             } else {
                 mListener.onChanged(object);
             }
+        } catch (RuntimeException e) {
+            EventLog.write(
+                    "store",
+                    "change.skipped",
+                    "kind",
+                    mKind,
+                    "name",
+                    ObjectClient.nameOf(object),
+                    "reason",
+                    e);
         }
-        mRevision = changes.revision();
-        mListener.onConfirmed(
-                confirmedMillis(changes.events().isEmpty(), waitMillis, ExpiryClock.nowMillis()));
     }
 
     /**
--- a/src/test/java/org/vanilladoor/logging/LineLoggerTests.java
+++ b/src/test/java/org/vanilladoor/logging/LineLoggerTests.java
@@ -44,7 +44,8 @@
         Logger logger = LineLoggerContext.create(Level.INFO, writer).getLogger("events");
         logger.error("failed", new IllegalStateException("broken"));
         writer.close(CLOSE_TIMEOUT_MILLIS);
-        assertThat(written()).contains("level=ERROR failed\njava.lang.IllegalStateException: broken");
+        assertThat(written())
+                .contains("level=ERROR failed\njava.lang.IllegalStateException: broken");
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
@@ -0,0 +1,109 @@
+package org.vanilladoor.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.platform.ScriptedEndpoint.Answer;
+import org.vanilladoor.platform.ScriptedEndpoint.End;
+import org.vanilladoor.platform.ScriptedEndpoint.Received;
+import org.vanilladoor.provider.StoreUnavailableException;
+import org.vanilladoor.transport.ConnectionPool;
+
+/**
+ * Guards against responses to this system's own calls that never end, and against taking the second
+ * copy of a caller's response for the response to such a call.
+ */
+class PlatformCallsTests {
+    /** Longer than any of the failures takes; a call that only times out fails the test. */
+    private static final long CALL_TIMEOUT_MILLIS = 60_000;
+
+    private static final long WAIT_SECONDS = 20;
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String KILOBYTE = "x".repeat(1_024);
+    private final ControlLoop mControl = ControlLoop.start("control");
+    private final ConnectionPool mConnections = ConnectionPool.start(mControl);
+    private final PlatformCalls mCalls = PlatformCalls.create(mControl, mConnections);
+    private ScriptedEndpoint mPeer;
+
+    @AfterEach
+    void stop() throws IOException {
+        mConnections.close();
+        mControl.close();
+        mPeer.close();
+    }
+
+    @Test
+    void aHeadWithoutEndFailsTheCall() throws Exception {
+        assertFails(received -> Answer.endless(OK, KILOBYTE));
+    }
+
+    @Test
+    void aBodyWithoutEndFailsTheCall() throws Exception {
+        assertFails(
+                received ->
+                        Answer.endless(
+                                OK + "Transfer-Encoding: chunked\r\n\r\n",
+                                "400\r\n" + KILOBYTE + "\r\n"));
+    }
+
+    @Test
+    void bytesThatAreNoResponseFailTheCall() throws Exception {
+        assertFails(received -> Answer.endless("", KILOBYTE));
+    }
+
+    @Test
+    void aCallersResponseIsNotTakenForTheResponseToAnOrder() throws Exception {
+        assertFails(
+                received ->
+                        new Answer(
+                                OK + "Vanilladoor-Attempt-Id: id-1\r\nContent-Length: 2\r\n\r\n{}",
+                                End.KEEP));
+    }
+
+    @Test
+    void aRefusalIsReportedWithWhatThePeerSaid() throws Exception {
+        ExecutionException failure =
+                assertThrows(
+                        ExecutionException.class,
+                        () ->
+                                call(
+                                        received ->
+                                                new Answer(
+                                                        "HTTP/1.1 400 Bad\r\nContent-Length: 21"
+                                                                + "\r\n\r\n"
+                                                                + "{\"error\":\"no number\"}",
+                                                        End.KEEP)));
+        assertThat(failure).hasMessageThat().contains("status 400 {\"error\":\"no number\"}");
+    }
+
+    private void assertFails(Function<Received, Answer> script) {
+        ExecutionException failure = assertThrows(ExecutionException.class, () -> call(script));
+        assertThat(failure).hasCauseThat().isInstanceOf(StoreUnavailableException.class);
+        GatewayFixture.waitUntil(mPeer::isEveryConnectionClosed);
+    }
+
+    private JsonNode call(Function<Received, Answer> script)
+            throws IOException, ExecutionException, InterruptedException, TimeoutException {
+        mPeer = ScriptedEndpoint.start(script);
+        CompletableFuture<JsonNode> body =
+                mCalls.send(
+                                mPeer.address(),
+                                new BasicHttpRequest("GET", "/"),
+                                Optional.empty(),
+                                CALL_TIMEOUT_MILLIS)
+                        .thenApply(PlatformCalls.Response::requireSuccess);
+        return body.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -57,6 +57,11 @@
         mCloseTrigger.countDown();
     }
 
+    /** Returns whether no connection is open, whoever closed it. */
+    boolean isEveryConnectionClosed() {
+        return mSockets.stream().allMatch(Socket::isClosed);
+    }
+
     int connectionsClosedByPeer() {
         return mConnectionsClosedByPeer;
     }
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -21,6 +21,7 @@
 class StoreFeedTests {
     private static final String KIND = "servers";
     private static final long MINIMUM_INTERVAL_MILLIS = 200;
+    private static final String POISONOUS = "poisonous";
     private static final long WAIT_MILLIS = 2_000;
     private final ControlLoop mControl = ControlLoop.start("feed-tests");
     private final Set<String> mKnownNames = ConcurrentHashMap.newKeySet();
@@ -68,6 +69,16 @@
                 .isAtMost((int) (elapsedMillis / MINIMUM_INTERVAL_MILLIS) + 2);
     }
 
+    @Test
+    void aChangeThatCannotBeHandledDoesNotKeepLaterOnesBack() throws InterruptedException {
+        put("before");
+        awaitKnown("before");
+        put(POISONOUS);
+        put("after");
+        awaitKnown("after");
+        assertThat(mKnownNames).containsExactly("before", "after");
+    }
+
     @Test
     void allObjectsAreListedAgainAfterTheStoreHasDiscardedItsHistory() throws InterruptedException {
         put("before");
@@ -128,6 +139,9 @@
 
         @Override
         public void onChanged(JsonNode object) {
+            if (ObjectClient.nameOf(object).equals(POISONOUS)) {
+                throw new IllegalStateException("can't be handled");
+            }
             mKnownNames.add(ObjectClient.nameOf(object));
         }
 
