Keep a lease invalid when a renewal sent before a suspension is answered

Cause: a VM that is suspended invalidates its lease when it wakes, but the response to a renewal that was on its way made it valid again, counted by the monotonic clock, which had not counted the suspension. Another process may hold it by then.

Ruled out: dropping the response (its version is needed to write again).

Change: a write makes the lease valid only if the lease was not invalidated since the write was sent; the holder then acquires it again under a new term.

Before: the two new tests of LeaseCoreTests failed. After: they pass, OrderFuzzTests too.

--- a/src/main/java/org/vanilladoor/lease/LeaseCore.java
+++ b/src/main/java/org/vanilladoor/lease/LeaseCore.java
@@ -27,6 +27,7 @@
     private LeaseRecord mPendingWrite;
     private long mSentMillis;
     private long mValidUntilMillis = Long.MIN_VALUE;
+    private boolean mInvalidatedSinceSend;
     private long mSequence;
     private boolean mWanted;
     private String mProposedPayload;
@@ -65,13 +66,15 @@
     }
 
     /**
-     * Treats the lease as no longer valid until it has been acquired again.
+     * Treats the lease as no longer valid until it has been acquired again by a write that is sent
+     * later; a write whose response is outstanding does not make it valid.
      *
      * <p>Used, for example, after an order was refused for its term.
      */
     public void invalidate() {
         mValidUntilMillis = Long.MIN_VALUE;
         mVersionIsKnown = false;
+        mInvalidatedSinceSend = true;
     }
 
     /**
@@ -188,6 +191,7 @@
         mStepOutstanding = true;
         mSequence++;
         mSentMillis = nowMillis;
+        mInvalidatedSinceSend = false;
         if (released) {
             mValidUntilMillis = Long.MIN_VALUE;
         }
@@ -216,7 +220,7 @@
     }
 
     private void extendValidity() {
-        if (!mKnown.released()) {
+        if (!mKnown.released() && !mInvalidatedSinceSend) {
             mValidUntilMillis = mSentMillis + mTiming.validityMillis();
         }
     }
--- a/src/test/java/org/vanilladoor/lease/LeaseCoreTests.java
+++ b/src/test/java/org/vanilladoor/lease/LeaseCoreTests.java
@@ -90,6 +90,36 @@
         assertThat(core.isHeld(4_500)).isFalse();
     }
 
+    /**
+     * A VM that is suspended while its renewal is on its way gets the response only afterwards, and
+     * its monotonic clock has not counted the time in which another process may have taken over.
+     */
+    @Test
+    void aRenewalSentBeforeASuspensionDoesNotMakeTheLeaseValidAfterIt() {
+        LeaseCore core = core("a");
+        commit(core, write(core, 1_000), 1_000);
+        LeaseStep.Write renewal = write(core, 2_500);
+        core.invalidate();
+        commit(core, renewal, 2_600);
+        assertThat(core.isHeld(2_601)).isFalse();
+        LeaseStep.Write reacquisition = write(core, 2_602);
+        assertThat(reacquisition.record().term()).isEqualTo(2);
+        commit(core, reacquisition, 2_602);
+        assertThat(core.isHeld(2_603)).isTrue();
+    }
+
+    @Test
+    void aRenewalOfUnknownEffectDoesNotMakeTheLeaseValidAfterASuspension() {
+        LeaseCore core = core("a");
+        commit(core, write(core, 1_000), 1_000);
+        store(write(core, 2_500));
+        core.onWriteFailed();
+        core.invalidate();
+        core.nextStep(2_600);
+        core.onRead(Optional.of(mObject), 2_600);
+        assertThat(core.isHeld(2_601)).isFalse();
+    }
+
     @Test
     void aHolderWhoseLeaseExpiredAcquiresItAgainUnderANewTerm() {
         LeaseCore core = core("a");
