Replace non-reclaimable endpoints as far as there is room beside them

Cause: a domain's non-reclaimable endpoints left only once all the reclaimable ones planned for it ran.

Change: once reclaimable endpoints fill the room, the others leave (under load no more at a time than reclaimable ones run); a full domain makes room first; numbers are never below 0; orders that the fleet already meets, or for none where none run, aren't sent; a new lease holder takes a fleet with reclaimable endpoints as sized, so that the fleet doesn't grow with each holder.

--- a/src/main/java/org/vanilladoor/leader/ScalingPlanner.java
+++ b/src/main/java/org/vanilladoor/leader/ScalingPlanner.java
@@ -16,11 +16,11 @@
  *
  * <p>If reclaimable endpoints are cheap, they carry the load. They are spread over the failure
  * domains, because all those of one domain may be reclaimed at once. The non-reclaimable endpoints
- * then stay at the operator's minimum; surplus ones are removed only after reclaimable endpoints
- * have replaced them. If reclaimable endpoints are not cheap, the fleet grows less. Invariant: the
- * orders for a failure domain never ask for less than the minimum or more than the maximum of
- * endpoints of both kinds together. Time and measurements are passed in as arguments, and the
- * orders are returned. Confined to the control thread.
+ * then stay at the operator's minimum; surplus ones leave once reclaimable endpoints fill the room
+ * beside them, or make room for those in a full domain. If reclaimable endpoints are not cheap, the
+ * fleet grows less. Invariant: the orders for a failure domain never ask for less than the minimum
+ * or more than the maximum of endpoints of both kinds together. Time and measurements are passed in
+ * as arguments, and the orders are returned. Confined to the control thread.
  */
 public final class ScalingPlanner {
     /** Highest relative price of reclaimable endpoints at which spare ones are worth their cost. */
@@ -99,7 +99,7 @@
         }
         Scaling scaling = service.scaling().get();
         updatePeak(load, nowMillis);
-        if (!determineInitialSize(endpoints.size(), nowMillis)) {
+        if (!determineInitialSize(endpoints, nowMillis)) {
             return List.of();
         }
         boolean isCheap = scaling.reclaimablePrice() <= MAXIMUM_CHEAP_PRICE;
@@ -119,10 +119,13 @@
             Scaling scaling,
             long nowMillis) {
         AcceptedOrder accepted = mAcceptedOrders.get(EndpointKind.of(order));
-        if (accepted == null || accepted.count() != order.count()) {
+        int present = count(endpoints, order.reclaimable()).getOrDefault(order.failureDomain(), 0);
+        if (accepted == null) {
+            return present == order.count();
+        }
+        if (accepted.count() != order.count()) {
             return false;
         }
-        int present = count(endpoints, order.reclaimable()).getOrDefault(order.failureDomain(), 0);
         boolean areStarting =
                 nowMillis - accepted.atMillis() < scaling.startMillis() + REGISTRATION_MILLIS;
         return present >= order.count() || areStarting;
@@ -141,13 +144,17 @@
     }
 
     /** Sets the initial size once the number of endpoints is stable; returns whether it is set. */
-    private boolean determineInitialSize(int present, long nowMillis) {
+    private boolean determineInitialSize(List<Endpoint> endpoints, long nowMillis) {
+        int present = endpoints.size();
         if (mInitialSize == 0 && present != mObservedCount) {
             mObservedCount = present;
             mCountObservedSinceMillis = nowMillis;
         }
         if (mInitialSize == 0 && nowMillis - mCountObservedSinceMillis >= STABLE_COUNT_MILLIS) {
-            mInitialSize = present;
+            // Reclaimable endpoints show that an earlier lease holder has already sized the fleet.
+            boolean isSized = endpoints.stream().anyMatch(Endpoint::reclaimable);
+            double factor = isSized ? MINIMUM_SIZE_FACTOR_CHEAP : 1;
+            mInitialSize = (int) Math.max(1, Math.round(present / factor));
         }
         return mInitialSize > 0;
     }
@@ -181,36 +188,57 @@
         List<String> domains = domains(scaling);
         Map<String, Integer> nonReclaimable = count(endpoints, false);
         Map<String, Integer> reclaimable = count(endpoints, true);
-        int minimum = Math.max(1, scaling.minimum());
         List<String> available =
-                domains.stream()
-                        .filter(
-                                domain ->
-                                        nowMillis
-                                                >= mUnavailableUntilMillis.getOrDefault(domain, 0L))
-                        .toList();
-        int reclaimableTotal = Math.max(0, size - minimum * domains.size());
-        Map<String, Integer> counts =
-                distributeEvenly(available, reclaimableTotal, scaling.maximum() - minimum);
+                domains.stream().filter(each -> isAvailable(each, nowMillis)).toList();
+        int kept = Math.max(1, scaling.minimum());
+        int reclaimableTotal = Math.max(0, size - kept * domains.size());
+        Map<String, Integer> wanted =
+                distributeEvenly(available, reclaimableTotal, scaling.maximum() - kept);
         List<FleetOperations.ScaleOrder> orders = new ArrayList<>();
-        for (String domain : available) {
-            int capacity =
-                    scaling.maximum() - Math.max(minimum, nonReclaimable.getOrDefault(domain, 0));
-            int wanted = Math.min(capacity, counts.getOrDefault(domain, 0));
-            orders.add(new FleetOperations.ScaleOrder(service, domain, wanted, true));
-        }
         for (String domain : domains) {
-            int count = counts.getOrDefault(domain, 0);
-            boolean isReplaced = count > 0 && reclaimable.getOrDefault(domain, 0) >= count;
-            int present = nonReclaimable.getOrDefault(domain, 0);
-            if (present < minimum
-                    || (isReplaced && present > minimum && available.contains(domain))) {
-                orders.add(new FleetOperations.ScaleOrder(service, domain, minimum, false));
+            DomainState state =
+                    new DomainState(
+                            nonReclaimable.getOrDefault(domain, 0),
+                            reclaimable.getOrDefault(domain, 0),
+                            kept,
+                            isAvailable(domain, nowMillis));
+            int room = Math.max(0, scaling.maximum() - Math.max(state.kept(), state.fixed()));
+            int wantedHere = Math.min(room, wanted.getOrDefault(domain, 0));
+            boolean isFull = room == 0 && wanted.getOrDefault(domain, 0) > 0;
+            int remaining = remainingNonReclaimable(state, wantedHere, isFull);
+            if (remaining != state.fixed()) {
+                orders.add(new FleetOperations.ScaleOrder(service, domain, remaining, false));
+            }
+            boolean isOrderable = state.available() && remaining >= state.fixed();
+            if (isOrderable && wantedHere + state.reclaimable() > 0) {
+                orders.add(new FleetOperations.ScaleOrder(service, domain, wantedHere, true));
             }
         }
         return orders;
     }
 
+    /**
+     * Returns the number of non-reclaimable endpoints that a failure domain is to have. Under load,
+     * no more of them leave at a time than reclaimable ones run, but one leaves a full domain.
+     *
+     * @param ordered number of reclaimable endpoints for which there is room beside them
+     * @param isFull whether there is no room for the reclaimable endpoints that are wanted
+     */
+    private int remainingNonReclaimable(DomainState state, int ordered, boolean isFull) {
+        boolean isReplaced = isFull || (state.reclaimable() > 0 && state.reclaimable() >= ordered);
+        if (state.fixed() <= state.kept() || !isReplaced || !state.available()) {
+            return Math.max(state.kept(), state.fixed());
+        }
+        boolean isIdle = mPeak.reading() == 0 && mPeak.running() == 0;
+        return isIdle
+                ? state.kept()
+                : Math.max(state.kept(), state.fixed() - Math.max(1, state.reclaimable()));
+    }
+
+    private boolean isAvailable(String failureDomain, long nowMillis) {
+        return nowMillis >= mUnavailableUntilMillis.getOrDefault(failureDomain, 0L);
+    }
+
     private List<FleetOperations.ScaleOrder> ordersWithoutReclaimable(
             String service, Scaling scaling, List<Endpoint> endpoints, int size) {
         List<String> domains = domains(scaling);
@@ -262,6 +290,16 @@
         return counts;
     }
 
+    /**
+     * The endpoints of one failure domain.
+     *
+     * @param fixed number of non-reclaimable endpoints
+     * @param reclaimable number of reclaimable endpoints
+     * @param kept number of non-reclaimable endpoints to keep
+     * @param available whether reclaimable endpoints can be ordered
+     */
+    private record DomainState(int fixed, int reclaimable, int kept, boolean available) {}
+
     /** The number and time of an accepted order. */
     private record AcceptedOrder(int count, long atMillis) {}
 
