Size a fleet with cheap endpoints at two to three times its first size

Cause: with the dear endpoints replaced, 1.5 times the first size are fewer than ran side by side before, and long prompts wait.

--- a/src/main/java/org/vanilladoor/leader/ScalingPlanner.java
+++ b/src/main/java/org/vanilladoor/leader/ScalingPlanner.java
@@ -30,7 +30,7 @@
      * Smallest fleet size, also before any load, as a multiple of the initial size, if reclaimable
      * endpoints are cheap.
      */
-    private static final double MINIMUM_SIZE_FACTOR_CHEAP = 1.5;
+    private static final double MINIMUM_SIZE_FACTOR_CHEAP = 2.0;
 
     /**
      * Prefill engines per prompt in prefill at the peak, if cheap; enough that few prompts wait.
@@ -49,7 +49,7 @@
     private static final int MINIMUM_DECODE_ENGINES = 2;
 
     /** Largest fleet size as a multiple of the initial size. */
-    private static final double MAXIMUM_SIZE_FACTOR = 2.5;
+    private static final double MAXIMUM_SIZE_FACTOR = 3.0;
 
     /** Longest time from the end of an endpoint's start to its registration, in milliseconds. */
     private static final long REGISTRATION_MILLIS = 3_000;
