Ask for changes of the endpoints less often on large fleets

Ruled out: stale reads (they may be older than the time in which a leaving endpoint has to be out of use); longer intervals on small fleets (a call costs a tenth there).

Change: 16 ms a VM instead of 8, up to 0.4 of the time in which a leaving endpoint has to be noticed (drain_ms of the settings; 0.8 s at 2 s, 1.6 s at 4 s). Fleets of up to 31 VMs ask as often as before.

--- a/src/main/java/org/vanilladoor/leader/LeaderTasks.java
+++ b/src/main/java/org/vanilladoor/leader/LeaderTasks.java
@@ -5,6 +5,7 @@
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.EndpointDirectory;
+import org.vanilladoor.fleet.EndpointPollInterval;
 import org.vanilladoor.gateway.ServiceLoadSink;
 import org.vanilladoor.gateway.ServingState;
 import org.vanilladoor.gateway.UsageSink;
@@ -71,7 +72,8 @@
                         dependencies.operations(),
                         dependencies.directory(),
                         mMembers,
-                        dependencies.state());
+                        dependencies.state(),
+                        dependencies.pollInterval());
         mScalingTask =
                 new ScalingTask(
                         dependencies.operations(),
@@ -147,11 +149,13 @@
      * @param operations sends orders and usage reports to the platform and the endpoints
      * @param directory known endpoints
      * @param state serving state, which holds the configuration in force
+     * @param pollInterval interval at which the VMs notice changes of the endpoints
      */
     public record Dependencies(
             ObjectStore store,
             StoredObjectLister lister,
             FleetOperations operations,
             EndpointDirectory directory,
-            ServingState state) {}
+            ServingState state,
+            EndpointPollInterval pollInterval) {}
 }
--- a/src/main/java/org/vanilladoor/leader/RoleChangeTask.java
+++ b/src/main/java/org/vanilladoor/leader/RoleChangeTask.java
@@ -41,6 +41,7 @@
     private final EndpointDirectory mDirectory;
     private final MemberView mMembers;
     private final ServingState mState;
+    private final EndpointPollInterval mPollInterval;
     private final Map<String, RolePlanner> mPlanners = new HashMap<>();
     private final Map<String, EngineRole> mOpenChanges = new HashMap<>();
     private long mHeldSinceMillis = Long.MAX_VALUE;
@@ -51,12 +52,14 @@
             FleetOperations operations,
             EndpointDirectory directory,
             MemberView members,
-            ServingState state) {
+            ServingState state,
+            EndpointPollInterval pollInterval) {
         mControl = control;
         mOperations = operations;
         mDirectory = directory;
         mMembers = members;
         mState = state;
+        mPollInterval = pollInterval;
     }
 
     /** Settles and starts role changes; to be called only while the lease is held. */
@@ -132,8 +135,7 @@
 
     /** Returns the time after which all VMs have received an announced change. */
     private Duration announcementDelay() {
-        return Duration.ofMillis(
-                EndpointPollInterval.millis(mState.vmCount()) + UPDATE_DELIVERY_MILLIS);
+        return Duration.ofMillis(mPollInterval.millis() + UPDATE_DELIVERY_MILLIS);
     }
 
     private void sendOrder(Endpoint engine, EngineRole role, FleetLease lease) {
--- a/src/main/java/org/vanilladoor/platform/PlatformSettings.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformSettings.java
@@ -21,6 +21,7 @@
  *     window
  * @param retryWindowMillis length of the retry window
  * @param usageWindowMillis length of a usage window, or 0 if usage is not reported
+ * @param drainNoticeMillis time in which a leaving endpoint has to be noticed
  * @param graceMillis time from the signal to stop until the platform kills the process
  */
 public record PlatformSettings(
@@ -34,12 +35,14 @@
         double additionalRetries,
         long retryWindowMillis,
         long usageWindowMillis,
+        long drainNoticeMillis,
         long graceMillis) {
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final int MAXIMUM_VALUE = 1_000_000_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final int DEFAULT_RETRY_WINDOW_SECONDS = 10;
     private static final int DEFAULT_GRACE_SECONDS = 8;
+    private static final int DEFAULT_DRAIN_NOTICE_MILLIS = 2_000;
 
     /**
      * Parses a settings file; unknown keys are ignored.
@@ -73,6 +76,9 @@
                                         MAXIMUM_VALUE,
                                         DEFAULT_RETRY_WINDOW_SECONDS)),
                         toMillis(bounds.number("report_window_s", 0, MAXIMUM_VALUE, 0)),
+                        (long)
+                                bounds.number(
+                                        "drain_ms", 0, MAXIMUM_VALUE, DEFAULT_DRAIN_NOTICE_MILLIS),
                         toMillis(
                                 bounds.number("grace_s", 0, MAXIMUM_VALUE, DEFAULT_GRACE_SECONDS)));
         root.throwIfInvalidIgnoringUnknownKeys();
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -84,6 +84,8 @@
         MetricRegistry registry = new MetricRegistry();
         PlatformCalls calls = PlatformCalls.create(mControl, mConnections);
         ObjectClient store = ObjectClient.create(calls, settings.storeAddress());
+        EndpointPollInterval pollInterval =
+                EndpointPollInterval.create(settings.drainNoticeMillis(), mState::vmCount);
         LeaderTasks leaderTasks =
                 LeaderTasks.start(
                         mControl,
@@ -92,7 +94,8 @@
                                 store,
                                 FleetClient.create(calls, store, settings.cloudAddress()),
                                 directory,
-                                mState),
+                                mState,
+                                pollInterval),
                         settings.vmName(),
                         settings.usageWindowMillis());
         mGateway =
@@ -124,7 +127,7 @@
                 store,
                 EndpointFeed.KIND,
                 ENDPOINT_WAIT_MILLIS,
-                () -> EndpointPollInterval.millis(mState.vmCount()),
+                pollInterval::millis,
                 random,
                 EndpointFeed.create(directory, mState));
         mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
--- a/src/test/java/org/vanilladoor/leader/RoleChangeTaskTests.java
+++ b/src/test/java/org/vanilladoor/leader/RoleChangeTaskTests.java
@@ -18,6 +18,7 @@
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.fleet.EndpointDirectory;
+import org.vanilladoor.fleet.EndpointPollInterval;
 import org.vanilladoor.fleet.Endpoints;
 import org.vanilladoor.gateway.ServingState;
 import org.vanilladoor.route.RequestSizeLimits;
@@ -54,7 +55,12 @@
         mMembers.replaceReports(List.of(listed(new ServiceLoad(3, 10))), 0);
         mTask =
                 new RoleChangeTask(
-                        mControl, new RecordingOperations(), mDirectory, mMembers, mState);
+                        mControl,
+                        new RecordingOperations(),
+                        mDirectory,
+                        mMembers,
+                        mState,
+                        EndpointPollInterval.create(2_000, mState::vmCount));
     }
 
     @AfterEach
