--- a/src/main/java/org/vanilladoor/logging/LineLogger.java
+++ b/src/main/java/org/vanilladoor/logging/LineLogger.java
@@ -1,8 +1,6 @@
 package org.vanilladoor.logging;
 
 import java.io.PrintStream;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.util.Properties;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.Marker;
@@ -54,8 +52,11 @@
     }
 
     private static String stackTrace(Throwable failure) {
-        StringWriter text = new StringWriter();
-        failure.printStackTrace(new PrintWriter(text));
-        return text.toString().stripTrailing();
+        StringBuilder text = new StringBuilder(failure.toString());
+        for (StackTraceElement element : failure.getStackTrace()) {
+            text.append("\n\tat ").append(element);
+        }
+        Throwable cause = failure.getCause();
+        return cause == null ? text.toString() : text + "\nCaused by: " + stackTrace(cause);
     }
 }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -114,6 +114,20 @@
                                 leaderTasks,
                                 GatewayMetrics.create(registry)),
                         random);
+        startFeeds(store, directory, pollInterval, random);
+        mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
+        mMetricsPage = MetricsPage.create(registry);
+        mOperatorServer = startServer(settings.readinessAddress(), this::respondToOperator);
+        tryListenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
+        mControl.scheduleWithFixedDelay(MAINTENANCE_INTERVAL, () -> maintain(directory, placement));
+    }
+
+    /** Starts to follow the configuration and the endpoints in the store. */
+    private void startFeeds(
+            ObjectClient store,
+            EndpointDirectory directory,
+            EndpointPollInterval pollInterval,
+            RandomGenerator random) {
         StoreFeed.start(
                 mControl,
                 store,
@@ -130,11 +144,6 @@
                 pollInterval::millis,
                 random,
                 EndpointFeed.create(directory, mState));
-        mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
-        mMetricsPage = MetricsPage.create(registry);
-        mOperatorServer = startServer(settings.readinessAddress(), this::respondToOperator);
-        tryListenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
-        mControl.scheduleWithFixedDelay(MAINTENANCE_INTERVAL, () -> maintain(directory, placement));
     }
 
     /**
