Finish the requests that a stopping process has begun to read

Cause: a stop ended when no request was in execution. A request whose body was still on its way, or which waited for the control thread on a busy VM, was not counted, and its connection was closed without a response; a response that was not yet written was cut.

Ruled out: a fixed delay before closing (too short under load, too long otherwise).

Change: the server counts each request from its head to the end of its response; a stop waits for those within the grace, then shuts the connections down in order, which writes what is pending, and closes what is left.

--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -7,6 +7,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -50,6 +52,8 @@
     private final Consumer<FrontExchange> mReceiver;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final Deque<ByteBuffer> mUnsent = new ArrayDeque<>();
+    private final AtomicInteger mOpenExchanges;
+    private final AtomicBoolean mReleased = new AtomicBoolean();
     private HttpRequest mRequest;
     private ResponseChannel mResponseChannel;
     private HttpContext mContext;
@@ -66,7 +70,10 @@
             ControlLoop control,
             CloseDetectingSession session,
             int maximumBodyBytes,
-            Consumer<FrontExchange> receiver) {
+            Consumer<FrontExchange> receiver,
+            AtomicInteger openExchanges) {
+        mOpenExchanges = openExchanges;
+        mOpenExchanges.incrementAndGet();
         mControl = control;
         mSession = session;
         mMaximumBodyBytes = maximumBodyBytes;
@@ -254,6 +261,9 @@
 
     @Override
     public void releaseResources() {
+        if (mReleased.compareAndSet(false, true)) {
+            mOpenExchanges.decrementAndGet();
+        }
         handleDisconnect();
     }
 
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import org.apache.hc.core5.http.HttpConnection;
@@ -21,11 +23,13 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MonotonicClock;
 
 /**
  * An HTTP server that serves all connections with a single I/O thread.
@@ -40,13 +44,19 @@
     private static final int MAXIMUM_HEADERS = 200;
     private static final int ACCEPT_BACKLOG = 512;
     private static final int LISTEN_TIMEOUT_SECONDS = 10;
+
+    /** Interval at which a stop checks whether requests are still open. */
+    private static final long STOP_CHECK_INTERVAL_MILLIS = 10;
+
     private static final Logger LOG = LogManager.getLogger(FrontServer.class);
     private final HttpAsyncServer mServer;
     private final HostPort mAddress;
+    private final AtomicInteger mOpenExchanges;
 
-    private FrontServer(HttpAsyncServer server, HostPort address) {
+    private FrontServer(HttpAsyncServer server, HostPort address, AtomicInteger openExchanges) {
         mServer = server;
         mAddress = address;
+        mOpenExchanges = openExchanges;
     }
 
     /**
@@ -68,6 +78,7 @@
             throws IOException {
         CurrentConnection current = new CurrentConnection();
         CallerSessions sessions = new CallerSessions();
+        AtomicInteger openExchanges = new AtomicInteger();
         HttpAsyncServer server =
                 AsyncServerBootstrap.bootstrap()
                         .setIOReactorConfig(reactorConfig())
@@ -91,10 +102,11 @@
                                                         control,
                                                         sessions.find(current.mConnection),
                                                         maximumBodyBytes.getAsInt(),
-                                                        receiver))
+                                                        receiver,
+                                                        openExchanges))
                         .create();
         server.start();
-        return new FrontServer(server, listen(server, address));
+        return new FrontServer(server, listen(server, address), openExchanges);
     }
 
     /** Returns the address that the server listens on. */
@@ -116,6 +128,32 @@
         return mServer.getStatus() == IOReactorStatus.ACTIVE;
     }
 
+    /** Returns the number of requests whose head was read and whose response is not complete. */
+    public int openExchanges() {
+        return mOpenExchanges.get();
+    }
+
+    /**
+     * Stops the server once the requests that it has begun to read have their responses, and those
+     * have been written. Blocks until then.
+     *
+     * @param grace maximum time to wait; connections that are open after it are closed
+     */
+    public void stop(Duration grace) {
+        long deadlineMillis = MonotonicClock.nowMillis() + grace.toMillis();
+        try {
+            while (openExchanges() > 0 && MonotonicClock.nowMillis() < deadlineMillis) {
+                Thread.sleep(STOP_CHECK_INTERVAL_MILLIS);
+            }
+            mServer.initiateShutdown();
+            long remainingMillis = deadlineMillis - MonotonicClock.nowMillis();
+            mServer.awaitShutdown(TimeValue.ofMilliseconds(Math.max(0, remainingMillis)));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close();
+    }
+
     /** Closes all connections. */
     @Override
     public void close() {
--- /dev/null
+++ b/src/test/java/org/vanilladoor/common/ControlLoopTests.java
@@ -0,0 +1,31 @@
+package org.vanilladoor.common;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** Guards against an unexpected error that ends a task on which the whole process depends. */
+class ControlLoopTests {
+    private static final long WAIT_SECONDS = 20;
+
+    @Test
+    void aRepeatedTaskGoesOnAfterAnError() throws InterruptedException {
+        CountDownLatch repeated = new CountDownLatch(3);
+        AtomicInteger runs = new AtomicInteger();
+        try (ControlLoop control = ControlLoop.start("control")) {
+            control.scheduleWithFixedDelay(
+                    Duration.ofMillis(1),
+                    () -> {
+                        repeated.countDown();
+                        if (runs.incrementAndGet() == 1) {
+                            throw new StackOverflowError("unexpected");
+                        }
+                    });
+            assertThat(repeated.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+}
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -19,6 +19,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.ExpiryClock;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.EndpointDirectory;
 import org.vanilladoor.fleet.Endpoints;
@@ -108,6 +109,16 @@
         return endpoint;
     }
 
+    /** Removes the entry of an endpoint, which goes on running. */
+    void removeEntry(String name) {
+        mControl.submit(
+                        () -> {
+                            mDirectory.remove(name, MonotonicClock.nowMillis());
+                            return null;
+                        })
+                .join();
+    }
+
     String call(String method, String path, String body) throws IOException {
         return callWithKey(method, path, body, "secret");
     }
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -23,6 +23,7 @@
  * <p>Serves each connection on a thread of its own, so that the script may be run concurrently.
  */
 final class ScriptedEndpoint implements AutoCloseable {
+    private static final long REPETITION_PAUSE_MILLIS = 100;
     private static final ExecutorService THREADS =
             ThreadPools.newDaemonThreadPool("scripted-endpoint");
     private final ServerSocket mServer;
@@ -130,7 +131,10 @@
                 Answer answer = mScript.apply(request);
                 socket.getOutputStream().write(answer.text().getBytes(StandardCharsets.US_ASCII));
                 socket.getOutputStream().flush();
-                while (answer.end() == End.ENDLESS) {
+                while (answer.end() == End.ENDLESS || answer.end() == End.ENDLESS_SLOW) {
+                    if (answer.end() == End.ENDLESS_SLOW) {
+                        Thread.sleep(REPETITION_PAUSE_MILLIS);
+                    }
                     socket.getOutputStream()
                             .write(answer.repeated().getBytes(StandardCharsets.US_ASCII));
                 }
@@ -169,7 +173,9 @@
         /** Sends nothing more and waits until the peer closes the connection. */
         HANG,
         /** Repeats the rest of the answer until the peer closes the connection. */
-        ENDLESS
+        ENDLESS,
+        /** Like {@link #ENDLESS}, with a pause before each repetition. */
+        ENDLESS_SLOW
     }
 
     /**
