--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -182,8 +182,9 @@
                 break;
             }
         }
+        mCallerServer.stop(
+                Duration.ofMillis(Math.max(0, deadlineMillis - MonotonicClock.nowMillis())));
         EventLog.write("process", "stopped", "open", mGateway.openRequests());
-        mCallerServer.close();
         mOperatorServer.close();
         mConnections.close();
         mControl.close();
