Follow a change in the store by an early confirmation

Cause: a response with a change confirms only up to its request, up to 2.5 s before; the next poll waited for another 2.5 s, so that the age passed 4 s and every VM refused keyed requests for up to a second after a change of the configuration.

Ruled out: reclaimed endpoints (the refusals name the confirmation); a shorter wait for all polls (more calls).

Change: a poll waits at most until the last confirmation is 3 s old, also after a failure.

Before: aChangeLateInAWait... failed with 3,615 ms of 3,000. After: it passes.

--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -21,9 +21,15 @@
     /** Minimum delay after a failed call; the delay is random and up to twice as long. */
     private static final int MINIMUM_RETRY_DELAY_MILLIS = 100;
 
-    /** Wait of the first call after a failed one, so that its response confirms at once. */
+    /** Shortest wait of a call, whose response confirms at once. */
     private static final long MINIMUM_WAIT_MILLIS = 1;
 
+    /**
+     * Time by which a confirmation may become older than the longest wait. A response with a change
+     * confirms only up to its request, so the call after it waits for less.
+     */
+    private static final long ADDITIONAL_AGE_MILLIS = 500;
+
     private final ControlLoop mControl;
     private final ObjectClient mClient;
     private final String mKind;
@@ -35,6 +41,7 @@
     private boolean mUnavailable;
     private long mRevision;
     private long mRequestedMillis;
+    private long mConfirmedMillis;
 
     private StoreFeed(
             ControlLoop control,
@@ -81,7 +88,9 @@
     private void poll() {
         mRequestedMillis = ExpiryClock.nowMillis();
         if (mListed) {
-            long waitMillis = mUnavailable ? MINIMUM_WAIT_MILLIS : mWaitMillis;
+            long remainingMillis =
+                    mConfirmedMillis + mWaitMillis + ADDITIONAL_AGE_MILLIS - mRequestedMillis;
+            long waitMillis = Math.max(MINIMUM_WAIT_MILLIS, Math.min(mWaitMillis, remainingMillis));
             mClient.awaitChanges(mKind, mRevision, waitMillis)
                     .thenAccept(changes -> applyChanges(changes, waitMillis))
                     .whenComplete((ignored, failure) -> scheduleNextPoll(failure));
@@ -97,7 +106,7 @@
         mListener.onListed(listing.items());
         mRevision = listing.revision();
         mListed = true;
-        mListener.onConfirmed(mRequestedMillis);
+        confirm(mRequestedMillis);
     }
 
     private void applyChanges(ObjectClient.Changes changes, long waitMillis) {
@@ -109,8 +118,12 @@
         }
         changes.events().forEach(this::applyChange);
         mRevision = changes.revision();
-        mListener.onConfirmed(
-                confirmedMillis(changes.events().isEmpty(), waitMillis, ExpiryClock.nowMillis()));
+        confirm(confirmedMillis(changes.events().isEmpty(), waitMillis, ExpiryClock.nowMillis()));
+    }
+
+    private void confirm(long confirmedMillis) {
+        mConfirmedMillis = confirmedMillis;
+        mListener.onConfirmed(confirmedMillis);
     }
 
     /** Passes a change on; one that can't be handled is skipped, so that later ones arrive. */
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -119,6 +119,24 @@
         assertThat(mConfirmedMillis.get(before)).isLessThan(putMillis);
     }
 
+    /**
+     * After a change that comes late in a wait, the last confirmation is as old as that wait; a
+     * second whole wait would end after the keys of all teams count as unconfirmed.
+     */
+    @Test
+    void aChangeLateInAWaitIsFollowedByAnEarlyConfirmation() throws InterruptedException {
+        put("first");
+        awaitKnown("first");
+        int before = mConfirmedMillis.size();
+        Thread.sleep(WAIT_MILLIS * 9 / 10);
+        put("second");
+        while (mConfirmedMillis.size() <= before + 1) {
+            Thread.sleep(5);
+        }
+        long ageMillis = ExpiryClock.nowMillis() - mConfirmedMillis.get(before);
+        assertThat(ageMillis).isLessThan(WAIT_MILLIS + 1_000);
+    }
+
     private void put(String name) {
         mPlatform.put(KIND, name, Json.newObject());
     }
