Let the warm-up wait until its process is ready

Cause: it sent each request up to 100 times without a pause, some 0.1 s, and would have gone on with refusals only on a slow machine: an archive without the serving path, and a red ServeCommandTests.

Change: it waits for readiness, ten seconds at most, and sends each request once. The serving process itself is unchanged.

--- a/src/main/java/org/vanilladoor/platform/WarmUp.java
+++ b/src/main/java/org/vanilladoor/platform/WarmUp.java
@@ -18,8 +18,10 @@
     /** Number of addresses that a warm-up needs. */
     public static final int ADDRESSES = 3;
 
-    /** Maximum number of tries until the process has its configuration and its endpoints. */
-    private static final int MAXIMUM_TRIES = 100;
+    /** Maximum number of checks until the process has its configuration and its endpoints. */
+    private static final int MAXIMUM_READINESS_CHECKS = 500;
+
+    private static final long READINESS_CHECK_INTERVAL_MILLIS = 20;
 
     private static final int READ_TIMEOUT_MILLIS = 2_000;
 
@@ -53,22 +55,29 @@
                                 "grace_s = 1"));
         try (WarmUpPlatform ignored = WarmUpPlatform.start(addresses.get(2), callerAddress)) {
             ServeProcess process = ServeProcess.start(settings);
-            output.println("plain " + serve(callerAddress, WarmUpPlatform.PLAIN_PATH, 0));
-            output.println("short prompt " + serve(callerAddress, WarmUpPlatform.STREAM_PATH, 1));
+            // Usually refused, which loads the classes of refusals.
+            output.println("first " + status(callerAddress, WarmUpPlatform.PLAIN_PATH, 0));
+            awaitReadiness(readinessAddress);
+            output.println("plain " + status(callerAddress, WarmUpPlatform.PLAIN_PATH, 0));
+            output.println("short prompt " + status(callerAddress, WarmUpPlatform.STREAM_PATH, 1));
             output.println(
-                    "long prompt " + serve(callerAddress, WarmUpPlatform.STREAM_PATH, 10_000));
+                    "long prompt " + status(callerAddress, WarmUpPlatform.STREAM_PATH, 10_000));
             output.println("metrics " + status(readinessAddress, "/metrics", 0));
             process.stop();
         }
     }
 
-    /** Sends a request until it is served and returns the last status. */
-    private static int serve(String address, String path, int promptTokens) throws IOException {
-        int status = status(address, path, promptTokens);
-        for (int tries = 1; tries < MAXIMUM_TRIES && !isServed(status); tries++) {
-            status = status(address, path, promptTokens);
+    private static void awaitReadiness(String address) throws IOException {
+        int checks = 0;
+        while (!isServed(status(address, "/", 0)) && checks < MAXIMUM_READINESS_CHECKS) {
+            checks++;
+            try {
+                Thread.sleep(READINESS_CHECK_INTERVAL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted", e);
+            }
         }
-        return status;
     }
 
     private static boolean isServed(int status) {
