--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -517,6 +517,13 @@
     """Runs a case and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     async def bounded():
         fleet = Fleet(folder)
+
+        def stop():
+            fleet.end()
+            os._exit(NOT_RUN)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         try:
             return await asyncio.wait_for(main(fleet), limit_s)
         except (CannotRun, asyncio.TimeoutError, OSError) as failure:
