Log and count responses that a peer mixes up on a connection

Where a late copy and the next response merge into one head (M1), nothing was written at all.

Each outgoing connection now has a parser that knows whether a response is due. Bytes that arrive otherwise, and heads with a second status line in a line, are logged as response.mixed and counted. What is done with the connection has not changed.

--- a/src/main/java/org/vanilladoor/gateway/GatewayMetrics.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
+import org.vanilladoor.transport.ConnectionAnomaly;
 
 /**
  * Counters and latencies of requests, kept in a metric registry.
@@ -34,6 +35,11 @@
         count("requests.refused." + refusal.name().toLowerCase(Locale.ROOT));
     }
 
+    /** Counts a connection whose peer mixed up its responses. */
+    public void countAnomaly(ConnectionAnomaly anomaly) {
+        count("connections." + anomaly.name().toLowerCase(Locale.ROOT));
+    }
+
     /** Counts a call to an endpoint, which may turn out to be undelivered. */
     void countCall(EndpointCall.Stage stage) {
         count("calls." + stage.name().toLowerCase(Locale.ROOT));
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -79,13 +79,14 @@
     private ServeProcess(PlatformSettings settings) throws IOException {
         mSettings = settings;
         mControl = ControlLoop.start("control");
-        mConnections = ConnectionPool.start(mControl);
+        MetricRegistry registry = new MetricRegistry();
+        GatewayMetrics metrics = GatewayMetrics.create(registry);
+        mConnections = ConnectionPool.start(mControl, metrics::countAnomaly);
         mState = ServingState.create();
         RandomGenerator random = new SplittableRandom();
         EndpointDirectory directory = EndpointDirectory.create();
         RequestLimits limits = RequestLimits.create(settings.vmName(), mState::vmCount);
         Placement placement = Placement.create(directory, settings.failureDomain(), limits, random);
-        MetricRegistry registry = new MetricRegistry();
         PlatformCalls calls = PlatformCalls.create(mControl, mConnections);
         ObjectClient store = ObjectClient.create(calls, settings.storeAddress());
         EndpointPollInterval pollInterval =
@@ -120,10 +121,7 @@
                                 leaderTasks::isHolder,
                                 incarnation),
                         new Gateway.Accounting(
-                                retryBudgets(settings),
-                                leaderTasks,
-                                leaderTasks,
-                                GatewayMetrics.create(registry)),
+                                retryBudgets(settings), leaderTasks, leaderTasks, metrics),
                         random);
         startFeeds(store, directory, pollInterval, news, random);
         mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -12,19 +12,19 @@
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.PoolReusePolicy;
+import org.apache.hc.core5.pool.StrictConnPool;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MonotonicClock;
 
@@ -63,40 +63,59 @@
     private final HttpAsyncRequester mRequester;
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
 
-    private ConnectionPool(ControlLoop control, HttpAsyncRequester requester) {
+    private final Consumer<ConnectionAnomaly> mAnomalyListener;
+
+    private ConnectionPool(
+            ControlLoop control,
+            HttpAsyncRequester requester,
+            Consumer<ConnectionAnomaly> anomalyListener) {
         mControl = control;
         mRequester = requester;
+        mAnomalyListener = anomalyListener;
     }
 
-    /** Starts a pool without connections. */
-    public static ConnectionPool start(ControlLoop control) {
+    /**
+     * Starts a pool without connections.
+     *
+     * @param anomalyListener called on the control thread when a peer mixes up its responses
+     */
+    public static ConnectionPool start(
+            ControlLoop control, Consumer<ConnectionAnomaly> anomalyListener) {
         HttpAsyncRequester requester =
-                AsyncRequesterBootstrap.bootstrap()
-                        .setIOReactorConfig(
-                                IOReactorConfig.custom()
-                                        .setIoThreadCount(1)
-                                        .setSoTimeout(SOCKET_TIMEOUT)
-                                        .setTcpNoDelay(true)
-                                        .setSoKeepAlive(true)
-                                        .setTcpKeepIdle(KEEP_ALIVE_PROBE_SECONDS)
-                                        .setTcpKeepInterval(KEEP_ALIVE_PROBE_SECONDS)
-                                        .setTcpKeepCount(KEEP_ALIVE_PROBES)
-                                        .build())
-                        .setHttp1Config(
+                new HttpAsyncRequester(
+                        reactorConfig(),
+                        ConnectionHandlerFactory.create(
                                 Http1Config.custom()
                                         .setMaxLineLength(MAXIMUM_LINE_BYTES)
                                         .setMaxHeaderCount(MAXIMUM_HEADERS)
-                                        .build())
-                        .setHttpProcessor(
-                                HttpProcessorBuilder.create().add(new RequestContent()).build())
-                        .setTlsStrategy(PlainConnections.STRATEGY)
-                        .setMaxTotal(MAXIMUM_CONNECTIONS)
-                        .setDefaultMaxPerRoute(MAXIMUM_CONNECTIONS)
-                        .setExceptionCallback(
-                                e -> LOG.debug("links: A connection failed: {}.", e.toString()))
-                        .create();
+                                        .build()),
+                        null,
+                        e -> LOG.debug("links: A connection failed: {}.", e.toString()),
+                        null,
+                        new StrictConnPool<>(
+                                MAXIMUM_CONNECTIONS,
+                                MAXIMUM_CONNECTIONS,
+                                Timeout.DISABLED,
+                                PoolReusePolicy.LIFO,
+                                null),
+                        PlainConnections.STRATEGY,
+                        null,
+                        null,
+                        null);
         requester.start();
-        return new ConnectionPool(control, requester);
+        return new ConnectionPool(control, requester, anomalyListener);
+    }
+
+    private static IOReactorConfig reactorConfig() {
+        return IOReactorConfig.custom()
+                .setIoThreadCount(1)
+                .setSoTimeout(SOCKET_TIMEOUT)
+                .setTcpNoDelay(true)
+                .setSoKeepAlive(true)
+                .setTcpKeepIdle(KEEP_ALIVE_PROBE_SECONDS)
+                .setTcpKeepInterval(KEEP_ALIVE_PROBE_SECONDS)
+                .setTcpKeepCount(KEEP_ALIVE_PROBES)
+                .build();
     }
 
     /**
@@ -200,13 +219,17 @@
 
     private void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
         PendingConnect pending = new PendingConnect(listener);
+        ResponseBoundary boundary =
+                ResponseBoundary.create(
+                        (anomaly, detail) ->
+                                mControl.execute(() -> recordAnomaly(address, anomaly, detail)));
         // HttpCore would apply a connect timeout as the socket timeout for the whole life of the
         // connection, so the connect timeout is enforced below.
         Future<AsyncClientEndpoint> future =
                 mRequester.connect(
                         new HttpHost("http", address.host(), address.port()),
                         SOCKET_TIMEOUT,
-                        null,
+                        boundary,
                         new FutureCallback<>() {
                             @Override
                             public void completed(AsyncClientEndpoint endpoint) {
@@ -244,6 +267,12 @@
                 });
     }
 
+    private void recordAnomaly(HostPort address, ConnectionAnomaly anomaly, String detail) {
+        EventLog.write(
+                "links", "response.mixed", "peer", address, "anomaly", anomaly, "detail", detail);
+        mAnomalyListener.accept(anomaly);
+    }
+
     /** Returns whether the peer's host answered that nothing listens at the port. */
     private static boolean isRefused(Exception failure) {
         return failure instanceof ConnectException
--- /dev/null
+++ b/src/main/java/org/vanilladoor/transport/ResponseParser.java
@@ -0,0 +1,52 @@
+package org.vanilladoor.transport;
+
+import java.io.IOException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/**
+ * Parses the response heads of one connection and recognizes bytes that belong to no response.
+ *
+ * <p>Confined to the I/O thread.
+ */
+final class ResponseParser implements NHttpMessageParser<HttpResponse> {
+    private final NHttpMessageParser<HttpResponse> mParser;
+    private final ResponseBoundary mBoundary;
+
+    private ResponseParser(NHttpMessageParser<HttpResponse> parser, ResponseBoundary boundary) {
+        mParser = parser;
+        mBoundary = boundary;
+    }
+
+    static ResponseParser create(Http1Config config, ResponseBoundary boundary) {
+        return new ResponseParser(
+                new DefaultHttpResponseParser<>(
+                        config,
+                        ResponseLineParser.create(boundary),
+                        DefaultHttpResponseFactory.INSTANCE),
+                boundary);
+    }
+
+    @Override
+    public void reset() {
+        mParser.reset();
+    }
+
+    @Override
+    public HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream)
+            throws IOException, HttpException {
+        if (!mBoundary.isResponseDue() && buffer.hasData()) {
+            mBoundary.report(ConnectionAnomaly.STRAY_BYTES, buffer.length() + " bytes");
+        }
+        HttpResponse head = mParser.parse(buffer, endOfStream);
+        if (head != null) {
+            mBoundary.onHeadParsed(head);
+        }
+        return head;
+    }
+}
--- a/src/test/java/org/vanilladoor/platform/EndpointMarksTests.java
+++ b/src/test/java/org/vanilladoor/platform/EndpointMarksTests.java
@@ -24,7 +24,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        mConnections = ConnectionPool.start(mControl);
+        mConnections = ConnectionPool.start(mControl, anomaly -> {});
         mPlatform = SoakPlatform.start(new SoakLedger());
         mClient =
                 ObjectClient.create(
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -48,7 +48,7 @@
 abstract class GatewayFixture {
     static final long TIMEOUT_MILLIS = 1_200;
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl);
+    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
     final ServingState mState = ServingState.create();
     private final EndpointDirectory mDirectory = EndpointDirectory.create();
     final List<String> mStartedTeams = new CopyOnWriteArrayList<>();
--- a/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
+++ b/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
@@ -33,7 +33,7 @@
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String KILOBYTE = "x".repeat(1_024);
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl);
+    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
     private final PlatformCalls mCalls = PlatformCalls.create(mControl, mConnections);
     private ScriptedEndpoint mPeer;
 
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -38,7 +38,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        mConnections = ConnectionPool.start(mControl);
+        mConnections = ConnectionPool.start(mControl, anomaly -> {});
         mPlatform = SoakPlatform.start(new SoakLedger());
         ObjectClient client =
                 ObjectClient.create(
