--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Semaphore;
 import java.util.function.Function;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.ThreadPools;
@@ -24,6 +25,7 @@
  */
 final class ScriptedEndpoint implements AutoCloseable {
     private static final long REPETITION_PAUSE_MILLIS = 100;
+    private static final long STRAY_PAUSE_MILLIS = 5;
     private static final ExecutorService THREADS =
             ThreadPools.newDaemonThreadPool("scripted-endpoint");
     private final ServerSocket mServer;
@@ -31,6 +33,7 @@
     private final List<Received> mReceived = new CopyOnWriteArrayList<>();
     private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
     private final CountDownLatch mCloseTrigger = new CountDownLatch(1);
+    private final Semaphore mStraysSent = new Semaphore(0);
     private volatile int mConnectionsClosedByPeer;
 
     private ScriptedEndpoint(ServerSocket server, Function<Received, Answer> script) {
@@ -58,6 +61,11 @@
         mCloseTrigger.countDown();
     }
 
+    /** Waits until the bytes after one answer with {@link End#KEEP_AND_STRAY} have been sent. */
+    void awaitStray() {
+        mStraysSent.acquireUninterruptibly();
+    }
+
     /** Returns whether no connection is open, whoever closed it. */
     boolean isEveryConnectionClosed() {
         return mSockets.stream().allMatch(Socket::isClosed);
@@ -131,6 +139,13 @@
                 Answer answer = mScript.apply(request);
                 socket.getOutputStream().write(answer.text().getBytes(StandardCharsets.US_ASCII));
                 socket.getOutputStream().flush();
+                if (answer.end() == End.KEEP_AND_STRAY) {
+                    Thread.sleep(STRAY_PAUSE_MILLIS);
+                    socket.getOutputStream()
+                            .write(answer.repeated().getBytes(StandardCharsets.US_ASCII));
+                    mStraysSent.release();
+                    continue;
+                }
                 while (answer.end() == End.ENDLESS || answer.end() == End.ENDLESS_SLOW) {
                     if (answer.end() == End.ENDLESS_SLOW) {
                         Thread.sleep(REPETITION_PAUSE_MILLIS);
@@ -168,6 +183,8 @@
     enum End {
         /** Keeps the connection open and reads the next request. */
         KEEP,
+        /** Sends the rest of the answer a little later and reads the next request. */
+        KEEP_AND_STRAY,
         /** Closes the connection. */
         CLOSE,
         /** Closes all connections of the endpoint and its port. */
@@ -189,13 +206,18 @@
      *
      * @param text bytes to send, which need not be a valid response
      * @param end what the endpoint does with the connection afterwards
-     * @param repeated bytes that follow again and again if the answer is endless
+     * @param repeated bytes that follow once later, or again and again if the answer is endless
      */
     record Answer(String text, End end, String repeated) {
         Answer(String text, End end) {
             this(text, end, "");
         }
 
+        /** Returns this answer, followed by bytes that arrive while the connection is idle. */
+        Answer withStray(String bytes) {
+            return new Answer(text, End.KEEP_AND_STRAY, bytes);
+        }
+
         /** Returns an answer that goes on until the peer closes the connection. */
         static Answer endless(String start, String repeated) {
             return new Answer(start, End.ENDLESS, repeated);
