Read a response only from bytes that follow its request

Callers got a success where the endpoint had failed their request, or a "not run" for a request that ran, and requests that must run once ran twice.

Cause: on a kept connection, HttpCore continues a head that it has begun to read. A part of an earlier response that an endpoint repeats (in the same packet, while the connection is idle, or before its next response) and the next response became one head: the status of the first, and the identifier, signature and body of the second. The identifier, which was checked, is the second one's.

- A response is due from the head of its request to its own final head.
Bytes that arrive otherwise close the connection (ResponseBoundary, below HttpCore's handling).
- Just before a request is sent, the connection must have no input.
If it has, or the peer has closed it, the request goes over a new connection, since none of it was sent.
- Bytes may also arrive after that.
A head with a second status line in any line, a header name that is no token, or two statements of the body's length is not a response.
- A connection is not kept after a response of HTTP/1.0.

--- a/src/main/java/org/vanilladoor/transport/ConnectionHandlerFactory.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionHandlerFactory.java
@@ -35,6 +35,7 @@
     public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
         ResponseBoundary boundary =
                 (ResponseBoundary) ((EndpointParameters) attachment).getAttachment();
+        boundary.bind(session);
         return new ClientHttp1IOEventHandler(
                 new ClientHttp1StreamDuplexerFactory(
                                 REQUEST_PROCESSOR,
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -133,7 +133,9 @@
             HttpRequest request,
             byte[] body,
             OutgoingListener listener) {
-        OutgoingCall call = new OutgoingCall(mControl, this, request, body, listener);
+        OutgoingCall call =
+                new OutgoingCall(
+                        mControl, this, address, connectTimeoutMillis, request, body, listener);
         PooledConnection idle = takeIdle(address);
         if (idle == null) {
             connect(address, connectTimeoutMillis, call);
@@ -217,7 +219,7 @@
         return null;
     }
 
-    private void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
+    void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
         PendingConnect pending = new PendingConnect(listener);
         ResponseBoundary boundary =
                 ResponseBoundary.create(
@@ -236,7 +238,8 @@
                                 mControl.execute(
                                         () ->
                                                 pending.complete(
-                                                        new PooledConnection(address, endpoint)));
+                                                        new PooledConnection(
+                                                                address, endpoint, boundary)));
                             }
 
                             @Override
@@ -329,20 +332,28 @@
     static final class PooledConnection {
         private final HostPort mAddress;
         private final AsyncClientEndpoint mEndpoint;
+        private final ResponseBoundary mBoundary;
         private long mIdleSinceMillis;
         private boolean mReused;
 
-        private PooledConnection(HostPort address, AsyncClientEndpoint endpoint) {
+        private PooledConnection(
+                HostPort address, AsyncClientEndpoint endpoint, ResponseBoundary boundary) {
             mAddress = address;
             mEndpoint = endpoint;
+            mBoundary = boundary;
+        }
+
+        /** Returns which bytes belong to responses; for the I/O thread only. */
+        ResponseBoundary boundary() {
+            return mBoundary;
         }
 
         boolean isReused() {
             return mReused;
         }
 
-        void execute(OutgoingCall call) {
-            mEndpoint.execute(call, HttpCoreContext.create());
+        void execute(OutgoingExchange exchange) {
+            mEndpoint.execute(exchange, HttpCoreContext.create());
         }
     }
 }
--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -1,70 +1,51 @@
 package org.vanilladoor.transport;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.util.Arrays;
-import java.util.List;
-import java.util.Locale;
-import org.apache.hc.core5.http.ConnectionClosedException;
-import org.apache.hc.core5.http.EntityDetails;
-import org.apache.hc.core5.http.Header;
-import org.apache.hc.core5.http.HeaderElements;
-import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.impl.BasicEntityDetails;
-import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
-import org.apache.hc.core5.http.nio.CapacityChannel;
-import org.apache.hc.core5.http.nio.DataStreamChannel;
-import org.apache.hc.core5.http.nio.RequestChannel;
-import org.apache.hc.core5.http.protocol.HttpContext;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.HostPort;
 
 /**
- * One HTTP call to another process, over one connection.
+ * One HTTP call to another process.
  *
- * <p>Invariants: the request is sent at most once; its connection is reused only after a complete
- * response. HttpCore calls the handler methods on its own thread; {@link #abandon} and the listener
- * are confined to the control thread.
+ * <p>Invariants: the request is sent at most once, over one connection; a kept connection that
+ * turns out to be unusable before anything was sent is replaced by a new one. The connection is
+ * reused only after a complete response. Confined to the control thread.
  */
-public final class OutgoingCall
-        implements AsyncClientExchangeHandler, ConnectionPool.ConnectListener {
+public final class OutgoingCall implements ConnectionPool.ConnectListener {
     private final ControlLoop mControl;
+    private final ConnectionPool mPool;
+    private final HostPort mAddress;
+    private final long mConnectTimeoutMillis;
     private final HttpRequest mRequest;
-    private final ByteBuffer mBody;
+    private final byte[] mBody;
     private final OutgoingListener mListener;
-    private final ConnectionPool mPool;
     private ConnectionPool.PooledConnection mConnection;
+    private OutgoingExchange mExchange;
     private boolean mDone;
     private boolean mKeepConnection = true;
-    private final Object mSendLock = new Object();
-    private boolean mSent;
-    private boolean mAbandoned;
-
-    /** Whether the response has neither a length nor chunks; used on HttpCore's thread only. */
-    private boolean mEndsWithConnection;
-
-    /** Whether any of the body has arrived; used on HttpCore's thread only. */
-    private boolean mHasBody;
 
     OutgoingCall(
             ControlLoop control,
             ConnectionPool pool,
+            HostPort address,
+            long connectTimeoutMillis,
             HttpRequest request,
             byte[] body,
             OutgoingListener listener) {
         mControl = control;
         mPool = pool;
+        mAddress = address;
+        mConnectTimeoutMillis = connectTimeoutMillis;
         mRequest = request;
-        mBody = ByteBuffer.wrap(body);
+        mBody = body;
         mListener = listener;
     }
 
     /** Abandons the call and closes its connection, which makes the peer cancel the work. */
     public void abandon() {
-        synchronized (mSendLock) {
-            mAbandoned = true;
+        if (mExchange != null) {
+            mExchange.preventSending();
         }
         if (!mDone) {
             mDone = true;
@@ -78,9 +59,7 @@
      * <p>The result no longer changes once the call has been abandoned.
      */
     public boolean isSent() {
-        synchronized (mSendLock) {
-            return mSent;
-        }
+        return mExchange != null && mExchange.isSent();
     }
 
     @Override
@@ -90,7 +69,8 @@
             return;
         }
         mConnection = connection;
-        connection.execute(this);
+        mExchange = OutgoingExchange.create(mControl, this, connection, mRequest, mBody);
+        connection.execute(mExchange);
     }
 
     @Override
@@ -98,103 +78,25 @@
         fail(reachability == ConnectionPool.Reachability.REFUSED, reason);
     }
 
-    @Override
-    public void produceRequest(RequestChannel channel, HttpContext context)
-            throws HttpException, IOException {
-        synchronized (mSendLock) {
-            if (mAbandoned) {
-                throw new ConnectionClosedException("the call was abandoned before it was sent");
-            }
-            mSent = true;
+    void onHead(OutgoingExchange exchange, HttpResponse response, boolean isComplete) {
+        if (isOver(exchange)) {
+            return;
         }
-        boolean empty = !mBody.hasRemaining();
-        channel.sendRequest(
-                mRequest, empty ? null : new BasicEntityDetails(mBody.remaining(), null), context);
-    }
-
-    @Override
-    public int available() {
-        return mBody.remaining();
-    }
-
-    @Override
-    public void produce(DataStreamChannel channel) throws IOException {
-        channel.write(mBody);
-        if (!mBody.hasRemaining()) {
-            channel.endStream();
+        mKeepConnection &= ResponseFraming.allowsReuseAfter(response);
+        mListener.onHead(response);
+        if (isComplete) {
+            onEnd(exchange);
         }
     }
 
-    @Override
-    public void consumeInformation(HttpResponse response, HttpContext context) {
-        // Interim (1xx) responses do not affect the outcome.
-    }
-
-    @Override
-    public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
-        boolean isComplete = entity == null;
-        mEndsWithConnection =
-                !response.containsHeader(HttpHeaders.CONTENT_LENGTH)
-                        && !response.containsHeader(HttpHeaders.TRANSFER_ENCODING);
-        mControl.execute(
-                () -> {
-                    if (mDone) {
-                        return;
-                    }
-                    mKeepConnection &= isReusableAfter(response);
-                    mListener.onHead(response);
-                    if (isComplete) {
-                        end();
-                    }
-                });
-    }
-
-    @Override
-    public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Integer.MAX_VALUE);
-    }
-
-    @Override
-    public void consume(ByteBuffer source) {
-        mHasBody |= source.hasRemaining();
-        byte[] bytes = new byte[source.remaining()];
-        source.get(bytes);
-        mControl.execute(
-                () -> {
-                    if (!mDone) {
-                        mListener.onData(bytes);
-                    }
-                });
-    }
-
-    @Override
-    public void streamEnd(List<? extends Header> trailers) {
-        // HttpCore takes a head that is cut off for a complete one, whose body is empty.
-        if (mEndsWithConnection && !mHasBody) {
-            failed(new ConnectionClosedException("the connection was closed after the head"));
-            return;
+    void onData(OutgoingExchange exchange, byte[] bytes) {
+        if (!isOver(exchange)) {
+            mListener.onData(bytes);
         }
-        mControl.execute(this::end);
-    }
-
-    @Override
-    public void failed(Exception cause) {
-        mControl.execute(() -> fail(false, cause.toString()));
-    }
-
-    @Override
-    public void cancel() {
-        failed(new ConnectionClosedException("the call was cancelled"));
-    }
-
-    @Override
-    public void releaseResources() {
-        // If the connection closes without an error or a response, this is the only callback.
-        mControl.execute(() -> fail(false, "the connection was closed"));
     }
 
-    private void end() {
-        if (mDone) {
+    void onEnd(OutgoingExchange exchange) {
+        if (isOver(exchange)) {
             return;
         }
         mDone = true;
@@ -206,6 +108,24 @@
         mListener.onComplete();
     }
 
+    void onFailure(OutgoingExchange exchange, String reason) {
+        if (isOver(exchange)) {
+            return;
+        }
+        exchange.preventSending();
+        if (!exchange.isSent() && mConnection.isReused()) {
+            discardConnection();
+            mPool.connect(mAddress, mConnectTimeoutMillis, this);
+        } else {
+            fail(false, reason);
+        }
+    }
+
+    /** Returns whether the call has ended or goes on over another connection. */
+    private boolean isOver(OutgoingExchange exchange) {
+        return mDone || mConnection == null || exchange != mExchange;
+    }
+
     private void fail(boolean isRefused, String reason) {
         if (mDone) {
             return;
@@ -222,10 +142,4 @@
             mConnection = null;
         }
     }
-
-    private static boolean isReusableAfter(HttpResponse response) {
-        return Arrays.stream(response.getHeaders(HttpHeaders.CONNECTION))
-                .map(header -> header.getValue().toLowerCase(Locale.ROOT))
-                .noneMatch(value -> value.contains(HeaderElements.CLOSE));
-    }
 }
--- /dev/null
+++ b/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
@@ -0,0 +1,156 @@
+package org.vanilladoor.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.vanilladoor.common.ControlLoop;
+
+/**
+ * The request and the response of a call on one connection.
+ *
+ * <p>Invariants: the request is sent at most once, and only while no byte that belongs to no
+ * response has arrived on the connection. HttpCore calls the handler methods on its own thread; the
+ * call is notified on the control thread. Whether the request was sent is guarded by a lock.
+ */
+final class OutgoingExchange implements AsyncClientExchangeHandler {
+    private final ControlLoop mControl;
+    private final OutgoingCall mCall;
+    private final ConnectionPool.PooledConnection mConnection;
+    private final HttpRequest mRequest;
+    private final ByteBuffer mBody;
+    private final Object mSendLock = new Object();
+    private boolean mSent;
+    private boolean mMayNotBeSent;
+
+    /** Whether the response has neither a length nor chunks; used on HttpCore's thread only. */
+    private boolean mEndsWithConnection;
+
+    /** Whether any of the body has arrived; used on HttpCore's thread only. */
+    private boolean mHasBody;
+
+    private OutgoingExchange(
+            ControlLoop control,
+            OutgoingCall call,
+            ConnectionPool.PooledConnection connection,
+            HttpRequest request,
+            byte[] body) {
+        mControl = control;
+        mCall = call;
+        mConnection = connection;
+        mRequest = request;
+        mBody = ByteBuffer.wrap(body);
+    }
+
+    static OutgoingExchange create(
+            ControlLoop control,
+            OutgoingCall call,
+            ConnectionPool.PooledConnection connection,
+            HttpRequest request,
+            byte[] body) {
+        return new OutgoingExchange(control, call, connection, request, body);
+    }
+
+    /** Prevents that the request is sent, unless it has been; {@link #isSent} is final then. */
+    void preventSending() {
+        synchronized (mSendLock) {
+            mMayNotBeSent = true;
+        }
+    }
+
+    boolean isSent() {
+        synchronized (mSendLock) {
+            return mSent;
+        }
+    }
+
+    @Override
+    public void produceRequest(RequestChannel channel, HttpContext context)
+            throws HttpException, IOException {
+        mConnection.boundary().requireNoInput();
+        synchronized (mSendLock) {
+            if (mMayNotBeSent) {
+                throw new ConnectionClosedException("the call was abandoned before it was sent");
+            }
+            mSent = true;
+        }
+        boolean empty = !mBody.hasRemaining();
+        channel.sendRequest(
+                mRequest, empty ? null : new BasicEntityDetails(mBody.remaining(), null), context);
+    }
+
+    @Override
+    public int available() {
+        return mBody.remaining();
+    }
+
+    @Override
+    public void produce(DataStreamChannel channel) throws IOException {
+        channel.write(mBody);
+        if (!mBody.hasRemaining()) {
+            channel.endStream();
+        }
+    }
+
+    @Override
+    public void consumeInformation(HttpResponse response, HttpContext context) {
+        // Interim (1xx) responses do not affect the outcome.
+    }
+
+    @Override
+    public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+        boolean isComplete = entity == null;
+        mEndsWithConnection = ResponseFraming.endsWithConnection(response);
+        mControl.execute(() -> mCall.onHead(this, response, isComplete));
+    }
+
+    @Override
+    public void updateCapacity(CapacityChannel capacity) throws IOException {
+        capacity.update(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void consume(ByteBuffer source) {
+        mHasBody |= source.hasRemaining();
+        byte[] bytes = new byte[source.remaining()];
+        source.get(bytes);
+        mControl.execute(() -> mCall.onData(this, bytes));
+    }
+
+    @Override
+    public void streamEnd(List<? extends Header> trailers) {
+        // HttpCore takes a head that is cut off for a complete one, whose body is empty.
+        if (mEndsWithConnection && !mHasBody) {
+            failed(new ConnectionClosedException("the connection was closed after the head"));
+            return;
+        }
+        mControl.execute(() -> mCall.onEnd(this));
+    }
+
+    @Override
+    public void failed(Exception cause) {
+        mControl.execute(() -> mCall.onFailure(this, cause.toString()));
+    }
+
+    @Override
+    public void cancel() {
+        failed(new ConnectionClosedException("the call was cancelled"));
+    }
+
+    @Override
+    public void releaseResources() {
+        // If the connection closes without an error or a response, this is the only callback.
+        mControl.execute(() -> mCall.onFailure(this, "the connection was closed"));
+    }
+}
--- a/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
@@ -1,19 +1,27 @@
 package org.vanilladoor.transport;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
+import org.apache.hc.core5.reactor.IOSession;
 
 /**
- * Knows whether the peer of one connection owes a response, and reports bytes that are none.
+ * Knows which bytes on one connection belong to a response.
  *
- * <p>Invariant: a response is due from the head of its request to its own final head. Confined to
- * the I/O thread.
+ * <p>Invariant: a response is due from the head of its request to its own final head; bytes that
+ * arrive otherwise close the connection. Confined to the I/O thread.
  */
 final class ResponseBoundary implements Http1StreamListener {
+    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
     private final Reporter mReporter;
+    private final ByteBuffer mUnexpected = ByteBuffer.allocate(1);
+    private IOSession mSession;
     private boolean mResponseDue;
 
     private ResponseBoundary(Reporter reporter) {
@@ -25,8 +33,43 @@
         return new ResponseBoundary(reporter);
     }
 
-    boolean isResponseDue() {
-        return mResponseDue;
+    void bind(IOSession session) {
+        mSession = session;
+    }
+
+    /**
+     * Checks, before a request is sent, that the peer has sent nothing since its last response.
+     *
+     * @throws ProtocolException if bytes have arrived that belong to no response
+     * @throws ConnectionClosedException if the peer has closed the connection
+     */
+    void requireNoInput() throws IOException, ProtocolException {
+        mUnexpected.clear();
+        int count = mSession.read(mUnexpected);
+        if (count > 0) {
+            throw strayBytes("before a request");
+        }
+        if (count < 0) {
+            throw new ConnectionClosedException("the peer has closed the connection");
+        }
+    }
+
+    /**
+     * Checks that bytes which have arrived may begin a response.
+     *
+     * @throws ProtocolException if no response is due
+     */
+    void requireResponseDue() throws ProtocolException {
+        if (!mResponseDue) {
+            throw strayBytes("after a response");
+        }
+    }
+
+    /** Reports a line that contains the start of a further response, and returns a description. */
+    String reportMergedHeads(String line) {
+        String quoted = line.substring(0, Math.min(line.length(), MAXIMUM_QUOTED_CHARACTERS));
+        mReporter.report(ConnectionAnomaly.MERGED_HEADS, quoted);
+        return "two heads are merged: " + quoted;
     }
 
     void onHeadParsed(HttpResponse head) {
@@ -35,10 +78,6 @@
         }
     }
 
-    void report(ConnectionAnomaly anomaly, String detail) {
-        mReporter.report(anomaly, detail);
-    }
-
     @Override
     public void onRequestHead(HttpConnection connection, HttpRequest request) {
         mResponseDue = true;
@@ -54,6 +93,11 @@
         // The body ends where the head says; bytes after it are seen by the parser.
     }
 
+    private ProtocolException strayBytes(String when) {
+        mReporter.report(ConnectionAnomaly.STRAY_BYTES, when);
+        return new ProtocolException("bytes that belong to no response arrived " + when);
+    }
+
     /** Receives the anomalies of a connection on the I/O thread. */
     interface Reporter {
         void report(ConnectionAnomaly anomaly, String detail);
--- /dev/null
+++ b/src/main/java/org/vanilladoor/transport/ResponseFraming.java
@@ -0,0 +1,46 @@
+package org.vanilladoor.transport;
+
+import java.util.Arrays;
+import java.util.Locale;
+import org.apache.hc.core5.http.HeaderElements;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.ProtocolException;
+
+/**
+ * How the body of a response is delimited, and what that means for its connection.
+ *
+ * <p>Stateless and safe for use by any thread.
+ */
+final class ResponseFraming {
+    private ResponseFraming() {}
+
+    /**
+     * Checks that the head delimits its body in one way only.
+     *
+     * @throws ProtocolException if a length or an encoding is stated more than once, or both are
+     */
+    static void requireUnambiguous(HttpResponse head) throws ProtocolException {
+        int statements =
+                head.countHeaders(HttpHeaders.CONTENT_LENGTH)
+                        + head.countHeaders(HttpHeaders.TRANSFER_ENCODING);
+        if (statements > 1) {
+            throw new ProtocolException("the length of the body is stated more than once");
+        }
+    }
+
+    /** Returns whether only the end of the connection shows where the body ends. */
+    static boolean endsWithConnection(HttpResponse head) {
+        return !head.containsHeader(HttpHeaders.CONTENT_LENGTH)
+                && !head.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+    }
+
+    /** Returns whether the peer keeps the connection open after the response. */
+    static boolean allowsReuseAfter(HttpResponse head) {
+        return HttpVersion.HTTP_1_1.equals(head.getVersion())
+                && Arrays.stream(head.getHeaders(HttpHeaders.CONNECTION))
+                        .map(header -> header.getValue().toLowerCase(Locale.ROOT))
+                        .noneMatch(value -> value.contains(HeaderElements.CLOSE));
+    }
+}
--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -8,14 +8,15 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Parses the lines of a response head and recognizes a second status line inside one of them.
+ * Parses the lines of a response head and rejects a second status line inside one of them.
  *
  * <p>If a peer breaks off a response inside a line of its head, the status line of its next
  * response continues that line. Confined to the I/O thread.
  */
 final class ResponseLineParser extends LazyLaxLineParser {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
-    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
+    private static final Pattern HEADER_NAME =
+            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+[ \t]*:");
     private final ResponseBoundary mBoundary;
 
     private ResponseLineParser(ResponseBoundary boundary) {
@@ -28,22 +29,23 @@
 
     @Override
     public StatusLine parseStatusLine(CharArrayBuffer buffer) throws ParseException {
-        checkFrom(1, buffer);
+        requireNoStatusLine(buffer, 1);
         return super.parseStatusLine(buffer);
     }
 
     @Override
     public Header parseHeader(CharArrayBuffer buffer) throws ParseException {
-        checkFrom(0, buffer);
-        return super.parseHeader(buffer);
+        requireNoStatusLine(buffer, 0);
+        Header header = super.parseHeader(buffer);
+        if (!HEADER_NAME.matcher(buffer).lookingAt()) {
+            throw new ParseException("invalid header name");
+        }
+        return header;
     }
 
-    private void checkFrom(int start, CharArrayBuffer buffer) {
-        String line = buffer.toString();
+    private void requireNoStatusLine(CharArrayBuffer line, int start) throws ParseException {
         if (line.length() > start && STATUS_LINE.matcher(line).find(start)) {
-            mBoundary.report(
-                    ConnectionAnomaly.MERGED_HEADS,
-                    line.substring(0, Math.min(line.length(), MAXIMUM_QUOTED_CHARACTERS)));
+            throw new ParseException(mBoundary.reportMergedHeads(line.toString()));
         }
     }
 }
--- a/src/main/java/org/vanilladoor/transport/ResponseParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseParser.java
@@ -10,7 +10,7 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
 /**
- * Parses the response heads of one connection and recognizes bytes that belong to no response.
+ * Parses the response heads of one connection and rejects bytes that belong to no response.
  *
  * <p>Confined to the I/O thread.
  */
@@ -40,11 +40,12 @@
     @Override
     public HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream)
             throws IOException, HttpException {
-        if (!mBoundary.isResponseDue() && buffer.hasData()) {
-            mBoundary.report(ConnectionAnomaly.STRAY_BYTES, buffer.length() + " bytes");
+        if (buffer.hasData()) {
+            mBoundary.requireResponseDue();
         }
         HttpResponse head = mParser.parse(buffer, endOfStream);
         if (head != null) {
+            ResponseFraming.requireUnambiguous(head);
             mBoundary.onHeadParsed(head);
         }
         return head;
--- a/src/test/java/org/vanilladoor/platform/StrayResponseBytesTests.java
+++ b/src/test/java/org/vanilladoor/platform/StrayResponseBytesTests.java
@@ -26,7 +26,7 @@
             String response = responseAfterRemainder(arrival, success.substring(0, length));
             assertWithMessage("%s of %s bytes", arrival, length)
                     .that(statusOf(response))
-                    .isAnyOf("500", "502");
+                    .isIn(arrival.possibleStatuses());
         }
     }
 
@@ -40,20 +40,33 @@
             String response = responseAfterRemainder(arrival, refusal.substring(0, length));
             assertWithMessage("%s of %s bytes", arrival, length)
                     .that(statusOf(response))
-                    .isAnyOf("500", "502");
+                    .isIn(arrival.possibleStatuses());
         }
     }
 
-    @Test
-    void aRemainderInTheSamePacketCostsTheNextCallerNothing() throws IOException {
+    @ParameterizedTest
+    @EnumSource(
+            value = Arrival.class,
+            names = {"WITH_THE_RESPONSE", "WHILE_IDLE"})
+    void bytesThatPrecedeTheNextRequestCostItsCallerNothing(Arrival arrival) throws IOException {
         String remainder = head("200 OK", "earlier", "X-Cut: in the midd");
-        for (String cut : List.of("\r\n", "HTTP/1.1 200 OK", remainder)) {
-            assertWithMessage(cut)
-                    .that(responseAfterRemainder(Arrival.WITH_THE_RESPONSE, cut))
-                    .endsWith(FAILURE);
+        String whole = remainder + "\r\nContent-Length: 0\r\n\r\n";
+        for (String stray : List.of("\r\n", "HTTP/1.1 200 OK", remainder, whole)) {
+            assertWithMessage(stray).that(responseAfterRemainder(arrival, stray)).endsWith(FAILURE);
         }
     }
 
+    @Test
+    void aSuccessWhoseBodyHasTwoLengthsIsNotForwarded() throws IOException {
+        endpoint(
+                "e",
+                received ->
+                        ScriptedEndpoint.response(received, 200, "Content-Length: 2\r\n", "whole"));
+        assertWithMessage("two lengths")
+                .that(statusOf(exchange(requestOf("first"))))
+                .isEqualTo("502");
+    }
+
     /** Returns the response to a request that fails on a connection with a remainder. */
     private String responseAfterRemainder(Arrival arrival, String remainder) throws IOException {
         ScriptedEndpoint endpoint =
@@ -108,12 +121,22 @@
             }
         },
         AFTER_THE_NEXT_REQUEST {
+            @Override
+            List<String> possibleStatuses() {
+                // Which response is its own, and whether there is another, can't be known.
+                return List.of("500", "502");
+            }
+
             @Override
             Answer second(Received received, String remainder) {
                 return new Answer(remainder + failure(received).text(), End.KEEP);
             }
         };
 
+        List<String> possibleStatuses() {
+            return List.of("500");
+        }
+
         Answer first(Received received, String remainder) {
             return success(received);
         }
