Keep no connection to a peer that has lately mixed up its responses

Where bytes of an earlier response arrive after the next request was sent, the caller's outcome is unknown, although the endpoint has answered. What one connection had shown was forgotten with it: the endpoint's other connections were used on, and each could have such bytes still to come.

Connections that cost more are the lesser harm: only such peers pay for it.

Two tests count an endpoint's connections; both failed before, with one connection.

--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -5,6 +5,7 @@
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.transport.CallFailure;
+import org.vanilladoor.transport.ConnectionAnomaly;
 import org.vanilladoor.transport.OutgoingCall;
 import org.vanilladoor.transport.OutgoingListener;
 
@@ -102,7 +103,11 @@
         }
         EndpointResponse response = mContext.wireFormat().decodeResponseHead(head);
         if (!response.identifier().equals(mRequest.identifier())) {
-            endWithInvalidResponse("the response belongs to another request");
+            String reason = "the response belongs to another request";
+            mContext.connections()
+                    .recordAnomaly(
+                            mCall.endpoint().address(), ConnectionAnomaly.FOREIGN_RESPONSE, reason);
+            endWithInvalidResponse(reason);
             return;
         }
         response.load()
--- a/src/main/java/org/vanilladoor/transport/ConnectionAnomaly.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionAnomaly.java
@@ -9,5 +9,7 @@
     /** Bytes arrived although no response was due, so that they belong to no call. */
     STRAY_BYTES,
     /** The head of a response contains a second status line. */
-    MERGED_HEADS
+    MERGED_HEADS,
+    /** The response belongs to another request. */
+    FOREIGN_RESPONSE
 }
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -32,7 +32,8 @@
  * A pool of HTTP connections from this process to other processes.
  *
  * <p>Invariants: a connection carries one call at a time; an idle connection is reused only within
- * {@link #MAXIMUM_IDLE_MILLIS}; no call is retried. Confined to the control thread.
+ * {@link #MAXIMUM_IDLE_MILLIS}, and none of a peer that has lately mixed up its responses; no call
+ * is retried. Confined to the control thread.
  */
 public final class ConnectionPool implements AutoCloseable {
     /** Idle time after which a connection is closed; endpoints close idle connections later. */
@@ -62,6 +63,7 @@
     private final ControlLoop mControl;
     private final HttpAsyncRequester mRequester;
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
+    private final DistrustedPeers mDistrustedPeers = DistrustedPeers.create();
 
     private final Consumer<ConnectionAnomaly> mAnomalyListener;
 
@@ -182,6 +184,23 @@
                             }
                         });
         mIdle.values().removeIf(Deque::isEmpty);
+        mDistrustedPeers.removeExpired(MonotonicClock.nowMillis());
+    }
+
+    /**
+     * Records that a peer mixed up its responses. For a while, no connection to it is reused.
+     *
+     * @param detail description of what was seen, for the log
+     */
+    public void recordAnomaly(HostPort peer, ConnectionAnomaly anomaly, String detail) {
+        EventLog.write(
+                "links", "response.mixed", "peer", peer, "anomaly", anomaly, "detail", detail);
+        mAnomalyListener.accept(anomaly);
+        mDistrustedPeers.add(peer, MonotonicClock.nowMillis());
+        Deque<PooledConnection> idle = mIdle.remove(peer);
+        if (idle != null) {
+            idle.forEach(this::discard);
+        }
     }
 
     /** Returns whether the pool can still open connections. */
@@ -195,7 +214,12 @@
     }
 
     void release(PooledConnection connection) {
-        connection.mIdleSinceMillis = MonotonicClock.nowMillis();
+        long nowMillis = MonotonicClock.nowMillis();
+        if (mDistrustedPeers.contains(connection.mAddress, nowMillis)) {
+            discard(connection);
+            return;
+        }
+        connection.mIdleSinceMillis = nowMillis;
         connection.mReused = true;
         mIdle.computeIfAbsent(connection.mAddress, address -> new ArrayDeque<>())
                 .addLast(connection);
@@ -270,12 +294,6 @@
                 });
     }
 
-    private void recordAnomaly(HostPort address, ConnectionAnomaly anomaly, String detail) {
-        EventLog.write(
-                "links", "response.mixed", "peer", address, "anomaly", anomaly, "detail", detail);
-        mAnomalyListener.accept(anomaly);
-    }
-
     /** Returns whether the peer's host answered that nothing listens at the port. */
     private static boolean isRefused(Exception failure) {
         return failure instanceof ConnectException
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -71,6 +71,11 @@
         return mSockets.stream().allMatch(Socket::isClosed);
     }
 
+    /** Returns the number of connections that the endpoint has accepted. */
+    int connectionCount() {
+        return mSockets.size();
+    }
+
     int connectionsClosedByPeer() {
         return mConnectionsClosedByPeer;
     }
--- a/src/test/java/org/vanilladoor/platform/StrayResponseBytesTests.java
+++ b/src/test/java/org/vanilladoor/platform/StrayResponseBytesTests.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.platform;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
@@ -56,6 +57,43 @@
         }
     }
 
+    @Test
+    void anEndpointThatMixedUpItsResponsesGetsANewConnectionForEachRequest() throws IOException {
+        ScriptedEndpoint endpoint =
+                endpoint(
+                        "e",
+                        received ->
+                                received.header("vanilladoor-attempt-id").equals("mixed")
+                                        ? Arrival.WITH_THE_RESPONSE.first(received, "HTTP/1.1 2")
+                                        : ScriptedEndpoint.response(received, 200, "", "done"));
+        exchange(requestOf("a"));
+        exchange(requestOf("b"));
+        assertThat(endpoint.connectionCount()).isEqualTo(1);
+        exchange(requestOf("mixed"));
+        exchange(requestOf("c"));
+        exchange(requestOf("d"));
+        assertThat(endpoint.connectionCount()).isEqualTo(3);
+    }
+
+    @Test
+    void anEndpointThatSentTheResponseToAnotherRequestGetsNewConnections() throws IOException {
+        ScriptedEndpoint endpoint =
+                endpoint(
+                        "e",
+                        received ->
+                                received.header("vanilladoor-attempt-id").equals("mixed")
+                                        ? new Answer(
+                                                ScriptedEndpoint.response(received, 200, "", "done")
+                                                        .text()
+                                                        .replace(": mixed", ": other"),
+                                                End.KEEP)
+                                        : ScriptedEndpoint.response(received, 200, "", "done"));
+        exchange(requestOf("mixed"));
+        exchange(requestOf("a"));
+        exchange(requestOf("b"));
+        assertThat(endpoint.connectionCount()).isEqualTo(3);
+    }
+
     @Test
     void aSuccessWhoseBodyHasTwoLengthsIsNotForwarded() throws IOException {
         endpoint(
