Reject requests whose end is in doubt, and close their connection

Cause: a length beside chunks was refused only once HttpCore had read the body as chunked and taken what followed for the next request; the connection stayed open. Chunks in HTTP/1.0 were accepted. As on the endpoints' side, bytes were given to a message before it was certain where the one before it ends.

A head that delimits its body more than once, by another encoding than chunked, by chunks in HTTP/1.0 or by no plain number, a header name that is no token, and a value with NUL or CR are now rejected by the parser of the connection. HttpCore then answers 400 and closes it.

--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -15,10 +15,7 @@
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
-import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
-import org.apache.hc.core5.http.protocol.ResponseContent;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOReactorStatus;
@@ -79,32 +76,30 @@
         CurrentConnection current = new CurrentConnection();
         CallerSessions sessions = new CallerSessions();
         AtomicInteger openExchanges = new AtomicInteger();
+        Http1Config config =
+                Http1Config.custom()
+                        .setMaxLineLength(maximumHeaderLineBytes)
+                        .setMaxHeaderCount(MAXIMUM_HEADERS)
+                        .build();
         HttpAsyncServer server =
-                AsyncServerBootstrap.bootstrap()
-                        .setIOReactorConfig(reactorConfig())
-                        .setHttp1Config(
-                                Http1Config.custom()
-                                        .setMaxLineLength(maximumHeaderLineBytes)
-                                        .setMaxHeaderCount(MAXIMUM_HEADERS)
-                                        .build())
-                        .setHttpProcessor(
-                                HttpProcessorBuilder.create().add(new ResponseContent()).build())
-                        .setTlsStrategy(PlainConnections.STRATEGY)
-                        .setStreamListener(current)
-                        .setIOSessionDecorator(sessions::decorate)
-                        .setIOSessionListener(sessions)
-                        .setExceptionCallback(
-                                e -> LOG.debug("front: A connection failed: {}.", e.toString()))
-                        .setRequestRouter(
+                new HttpAsyncServer(
+                        CallerConnectionFactory.create(
+                                config,
                                 (request, context) ->
-                                        () ->
-                                                new FrontExchange(
-                                                        control,
-                                                        sessions.find(current.mConnection),
-                                                        maximumBodyBytes.getAsInt(),
-                                                        receiver,
-                                                        openExchanges))
-                        .create();
+                                        new FrontExchange(
+                                                control,
+                                                sessions.find(current.mConnection),
+                                                maximumBodyBytes.getAsInt(),
+                                                receiver,
+                                                openExchanges),
+                                current),
+                        reactorConfig(),
+                        sessions::decorate,
+                        e -> LOG.debug("front: A connection failed: {}.", e.toString()),
+                        sessions,
+                        null,
+                        null,
+                        null);
         server.start();
         return new FrontServer(server, listen(server, address), openExchanges);
     }
--- /dev/null
+++ b/src/main/java/org/vanilladoor/transport/RequestParser.java
@@ -0,0 +1,45 @@
+package org.vanilladoor.transport;
+
+import java.io.IOException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.nio.NHttpMessageParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/**
+ * Parses the request heads of one caller's connection.
+ *
+ * <p>HttpCore responds to a head that is not valid with status 400 and closes the connection, so
+ * that nothing behind it is read as a request. Confined to the I/O thread.
+ */
+final class RequestParser implements NHttpMessageParser<HttpRequest> {
+    private final NHttpMessageParser<HttpRequest> mParser;
+
+    private RequestParser(NHttpMessageParser<HttpRequest> parser) {
+        mParser = parser;
+    }
+
+    static RequestParser create(Http1Config config) {
+        return new RequestParser(
+                new DefaultHttpRequestParser<>(
+                        config, RequestLineParser.STRICT, DefaultHttpRequestFactory.INSTANCE));
+    }
+
+    @Override
+    public void reset() {
+        mParser.reset();
+    }
+
+    @Override
+    public HttpRequest parse(SessionInputBuffer buffer, boolean endOfStream)
+            throws IOException, HttpException {
+        HttpRequest head = mParser.parse(buffer, endOfStream);
+        if (head != null) {
+            RequestFraming.requireUnambiguous(head);
+        }
+        return head;
+    }
+}
