Don't pass on a promise of "not run" that the endpoint didn't make

Callers of a request that may run once got an endpoint's signed 429 or 408 as it was. To a caller these statuses say that the request has not run and never will, so that it sends it again; the endpoint had said nothing of the kind (no Vanilladoor-Not-Run), and its signature shows that the request had reached it. Only 503 was held back.

Cause: EndpointResponseHandler compared the status with the one of our own refusals instead of with all that make the promise.

ContradictoryResponseTests failed before for 408 and 429 on a purchase and on a stream that may not be resumed (4 of 6 cases; 503 held). The caller now gets 502, which promises nothing. Requests that may be repeated still get the endpoint's own response, since a repeat does no harm there.

--- a/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import org.apache.hc.core5.http.HttpStatus;
 import org.vanilladoor.fleet.LoadSample;
 import org.vanilladoor.fleet.StatedLimit;
 
@@ -29,6 +31,14 @@
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** Statuses that callers take as a promise that the request has not run and never will. */
+    private static final Set<Integer> NOT_RUN_STATUSES =
+            Set.of(
+                    HttpStatus.SC_REQUEST_TIMEOUT,
+                    HttpStatus.SC_MISDIRECTED_REQUEST,
+                    HttpStatus.SC_TOO_MANY_REQUESTS,
+                    HttpStatus.SC_SERVICE_UNAVAILABLE);
+
     public EndpointResponse {
         Objects.requireNonNull(identifier, "identifier");
         Objects.requireNonNull(load, "load");
@@ -44,4 +54,9 @@
     public boolean isServerError() {
         return status >= FIRST_SERVER_ERROR;
     }
+
+    /** Returns whether a caller that gets the status takes the request for one that has not run. */
+    public boolean promisesNotRun() {
+        return NOT_RUN_STATUSES.contains(status);
+    }
 }
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -173,7 +173,7 @@
             mContext.placement().recordSuccess(endpoint, nowMillis);
         }
         countStartedUnlessStreaming();
-        if (mResponse.status() == Refusal.NOT_RUN.status()) {
+        if (mResponse.status() == Refusal.NOT_RUN.status() || isUntruePromise()) {
             // To a caller, this status means that the request was not run. The endpoint did not
             // state that, so its response is not forwarded.
             mExecution.refuse(
@@ -190,6 +190,11 @@
                         mBody.toByteArray());
     }
 
+    /** Returns whether the caller would send a request again that may run at most once. */
+    private boolean isUntruePromise() {
+        return mResponse.promisesNotRun() && !mExecution.route().allowsRetryAfterExecution();
+    }
+
     private void countStartedUnlessStreaming() {
         if (mExecution.route().kind() != RouteKind.STREAM) {
             mExecution.countStartedRequest();
