Take a response that contradicts itself for neither a refusal nor an answer

Callers were told 503 ("not run, try again") for requests that an endpoint had run, or the request ran at a second endpoint: any head with Vanilladoor-Not-Run, and any 421, counted as a refusal, whatever else it said. The remainder of a refusal and the signed failure that followed it on a kept connection made such a head, with the identifier of the right request.

Cause: decodeResponseHead looked for single fields and never at whether they can be true together. Now a head is contradictory, so that the outcome of its call is unknown and its connection is closed, if - a header of the platform is there more than once (identifier, signature, statement), - it states "not run" and is signed, or - it states "not run" with a status other than 400, 421, 429 and 503.

A 421 without an identifier keeps the meaning that it had, an unknown outcome: on a kept connection it could be the response to an earlier call, and only the identifier tells.

A signature is an endpoint's proof that a request ran, so that no test could tell a refusal from a merged head. They now send unsigned refusals; what the tests check is as before.

--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -11,8 +11,9 @@
 /**
  * One endpoint call and its response. Counts as load of the endpoint while it is in progress.
  *
- * <p>Invariants: a response that carries another attempt's identifier is a failure and closes the
- * connection; the load is decremented exactly once. Confined to the control thread.
+ * <p>Invariants: a response that doesn't carry the identifier of this very attempt, or whose head
+ * contradicts itself, is neither an answer nor a refusal: the outcome of the call is unknown, and
+ * the connection is closed. The load is decremented exactly once. Confined to the control thread.
  */
 final class EndpointExchange implements OutgoingListener {
     /** Time limit of the call that releases a KV cache. */
@@ -101,6 +102,10 @@
             return;
         }
         EndpointResponse response = mContext.wireFormat().decodeResponseHead(head);
+        if (response.contradiction().isPresent()) {
+            endWithInvalidResponse(response.contradiction().get());
+            return;
+        }
         if (!response.identifier().equals(mRequest.identifier())) {
             endWithInvalidResponse("the response belongs to another request");
             return;
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
@@ -19,6 +19,8 @@
  * @param identifier identifier of the attempt that the response belongs to, or an empty string
  * @param load the endpoint's load, if reported
  * @param limit what the endpoint says about the rate of requests that it takes
+ * @param contradiction why the head can't be the response to any call, if its fields contradict one
+ *     another; the other components then mean nothing
  */
 public record EndpointResponse(
         int status,
@@ -26,7 +28,8 @@
         boolean isSigned,
         String identifier,
         Optional<LoadSample> load,
-        StatedLimit limit) {
+        StatedLimit limit,
+        Optional<String> contradiction) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -43,6 +46,7 @@
         Objects.requireNonNull(identifier, "identifier");
         Objects.requireNonNull(load, "load");
         Objects.requireNonNull(limit, "limit");
+        Objects.requireNonNull(contradiction, "contradiction");
     }
 
     /** Returns whether the status is in the 2xx range. */
--- a/src/main/java/org/vanilladoor/gateway/WireFormat.java
+++ b/src/main/java/org/vanilladoor/gateway/WireFormat.java
@@ -30,7 +30,7 @@
     /** Encodes the request head of a call to an endpoint. */
     HttpRequest encodeCall(CallerRequest request, EndpointCall call);
 
-    /** Decodes the head of an endpoint's response. */
+    /** Decodes the head of an endpoint's response and checks whether it contradicts itself. */
     EndpointResponse decodeResponseHead(HttpResponse head);
 
     /**
--- a/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
+++ b/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
@@ -85,6 +86,17 @@
                     "vanilladoor-fence",
                     "kv-fetch");
 
+    /** Start of the names of the platform's own headers, in lower case. */
+    private static final String PLATFORM_HEADER_PREFIX = "vanilladoor-";
+
+    /** Statuses of a response that may state that the request was not run. */
+    private static final Set<Integer> NOT_RUN_STATUSES =
+            Set.of(
+                    HttpStatus.SC_BAD_REQUEST,
+                    HttpStatus.SC_MISDIRECTED_REQUEST,
+                    HttpStatus.SC_TOO_MANY_REQUESTS,
+                    HttpStatus.SC_SERVICE_UNAVAILABLE);
+
     /** Headers of an endpoint's response that are meant for this system, not for the caller. */
     private static final Set<String> INTERNAL_RESPONSE_HEADERS =
             Set.of(
@@ -178,7 +190,32 @@
                 head.containsHeader(Headers.SIGNATURE),
                 headerText(head, Headers.ATTEMPT_IDENTIFIER),
                 decodeLoad(headerText(head, Headers.LOAD)),
-                decodeLimit(head));
+                decodeLimit(head),
+                findContradiction(head, notRun));
+    }
+
+    /**
+     * Returns what can't be true of any single response, as in a head that consists of parts of two
+     * responses.
+     */
+    private static Optional<String> findContradiction(HttpResponse head, boolean notRun) {
+        Set<String> names = new HashSet<>();
+        for (Header header : head.getHeaders()) {
+            String name = lowerCaseName(header);
+            if (name.startsWith(PLATFORM_HEADER_PREFIX) && !names.add(name)) {
+                return Optional.of("header " + header.getName() + " is repeated");
+            }
+        }
+        if (notRun && head.containsHeader(Headers.SIGNATURE)) {
+            return Optional.of("a signed response states that the request was not run");
+        }
+        if (notRun && !NOT_RUN_STATUSES.contains(head.getCode())) {
+            return Optional.of(
+                    "a response with status "
+                            + head.getCode()
+                            + " states that the request was not run");
+        }
+        return Optional.empty();
     }
 
     @Override
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -87,6 +87,12 @@
                 End.KEEP);
     }
 
+    /** Returns a complete response that states that the request was not run. */
+    static Answer refusal(Received request, int status) {
+        String signed = response(request, status, "Vanilladoor-Not-Run: 1\r\n", "").text();
+        return new Answer(signed.replace("Vanilladoor-Stamp: proof\r\n", ""), End.KEEP);
+    }
+
     /** Returns an event stream with one chunk per event; complete only if the end is KEEP. */
     static Answer streamResponse(Received request, End end, String... events) {
         StringBuilder text = new StringBuilder(head(request, 200));
