Send a call with an identifier that went to its endpoint before over a new connection

Callers got 503 ("not run") for requests that two endpoints had run: a request whose first attempt had been refused was sent again with the same identifier over the kept connection, and the endpoint wrote the refusal once more before its response.

Cause: the identifier was all that tied a response to its call, and several calls share it: a second prefill after a failed fetch, a retry, and a caller's own repeat. Where two of them use one connection, a copy of the first response can't be told from the second one.

The gateway now remembers the latest 16,384 pairs of identifier and address (hashes, bounded). A call whose pair is there goes over a new connection, which has carried nothing that could be repeated. Sound requests have one call per identifier and address and keep reusing connections. Not covered: a copy that comes after 16,384 further calls of the VM on a connection kept all the while.

The run of a request never goes to the engine that prefilled it unless the engine changes its role meanwhile; the same rule covers that case.

--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -5,6 +5,7 @@
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.transport.CallFailure;
+import org.vanilladoor.transport.ConnectionUse;
 import org.vanilladoor.transport.OutgoingCall;
 import org.vanilladoor.transport.OutgoingListener;
 
@@ -49,6 +50,8 @@
                 context.connections()
                         .send(
                                 call.endpoint().address(),
+                                context.callHistory()
+                                        .record(request.identifier(), call.endpoint().address()),
                                 connectTimeoutMillis,
                                 context.wireFormat().encodeCall(request, call),
                                 request.body(),
@@ -68,6 +71,7 @@
                 context.connections()
                         .send(
                                 kvCache.endpoint().address(),
+                                ConnectionUse.ANY,
                                 connectTimeoutMillis,
                                 context.wireFormat().encodeKvCacheRelease(kvCache),
                                 new byte[0],
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -75,6 +75,7 @@
                 new GatewayContext(
                         control,
                         connections,
+                        CallHistory.create(),
                         wireFormat,
                         state,
                         placement,
--- a/src/main/java/org/vanilladoor/gateway/GatewayContext.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayContext.java
@@ -14,6 +14,7 @@
  *
  * @param control the loop that runs all work on the control thread
  * @param connections connection pool for calls to endpoints
+ * @param callHistory tells which calls need a connection of their own
  * @param wireFormat encodes and decodes the platform's messages
  * @param state configuration in force and shutdown state
  * @param placement selects the endpoint of each call
@@ -28,6 +29,7 @@
 record GatewayContext(
         ControlLoop control,
         ConnectionPool connections,
+        CallHistory callHistory,
         WireFormat wireFormat,
         ServingState state,
         Placement placement,
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -17,6 +17,7 @@
 import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.transport.CallFailure;
 import org.vanilladoor.transport.ConnectionPool;
+import org.vanilladoor.transport.ConnectionUse;
 import org.vanilladoor.transport.OutgoingCall;
 import org.vanilladoor.transport.OutgoingListener;
 
@@ -71,7 +72,12 @@
                     ResponseCollector collector = new ResponseCollector(description, result);
                     OutgoingCall call =
                             mConnections.send(
-                                    address, CONNECT_TIMEOUT_MILLIS, request, bodyBytes, collector);
+                                    address,
+                                    ConnectionUse.ANY,
+                                    CONNECT_TIMEOUT_MILLIS,
+                                    request,
+                                    bodyBytes,
+                                    collector);
                     collector.mCall = call;
                     mControl.schedule(
                             Duration.ofMillis(timeoutMillis),
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -122,6 +122,7 @@
      * Sends a request at most once, over an idle connection or a new one.
      *
      * @param address address of the peer
+     * @param use connections that may carry the call
      * @param connectTimeoutMillis maximum time to connect, in milliseconds
      * @param request request head, including the Host header
      * @param body request body; empty if there is none
@@ -129,12 +130,13 @@
      */
     public OutgoingCall send(
             HostPort address,
+            ConnectionUse use,
             long connectTimeoutMillis,
             HttpRequest request,
             byte[] body,
             OutgoingListener listener) {
         OutgoingCall call = new OutgoingCall(mControl, this, request, body, listener);
-        PooledConnection idle = takeIdle(address);
+        PooledConnection idle = use.isReuseAllowed() ? takeIdle(address) : null;
         if (idle == null) {
             connect(address, connectTimeoutMillis, call);
         } else {
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -125,19 +125,20 @@
         while (!mServer.isClosed()) {
             try {
                 Socket socket = mServer.accept();
+                int connection = mSockets.size();
                 mSockets.add(socket);
-                THREADS.execute(() -> serve(socket));
+                THREADS.execute(() -> serve(socket, connection));
             } catch (IOException e) {
                 return;
             }
         }
     }
 
-    private void serve(Socket socket) {
+    private void serve(Socket socket, int connection) {
         try (socket) {
             InputStream input = new BufferedInputStream(socket.getInputStream());
             while (true) {
-                Received request = Received.read(input);
+                Received request = Received.read(input, connection);
                 if (request == null) {
                     return;
                 }
@@ -235,8 +236,13 @@
      *
      * @param head request line and headers
      * @param body body, or an empty string
+     * @param connection number of the connection that it arrived on, the first one being 0
      */
-    record Received(String head, String body) {
+    record Received(String head, String body, int connection) {
+        Received(String head, String body) {
+            this(head, body, 0);
+        }
+
         /**
          * Returns the value of a header, or an empty string.
          *
@@ -251,7 +257,7 @@
         }
 
         /** Reads one request; returns null if the connection ends first. */
-        static Received read(InputStream input) throws IOException {
+        static Received read(InputStream input, int connection) throws IOException {
             ByteArrayOutputStream head = new ByteArrayOutputStream();
             while (!head.toString(StandardCharsets.US_ASCII).endsWith("\r\n\r\n")) {
                 int next = input.read();
@@ -263,7 +269,8 @@
             Received withoutBody = new Received(head.toString(StandardCharsets.US_ASCII), "");
             String length = withoutBody.header("content-length");
             byte[] body = input.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
-            return new Received(withoutBody.head(), new String(body, StandardCharsets.US_ASCII));
+            return new Received(
+                    withoutBody.head(), new String(body, StandardCharsets.US_ASCII), connection);
         }
     }
 }
