Send orders, usage reports and reads of an engine's state over new connections

Not seen by callers yet: an order that an engine had rejected with 409 counted as accepted, because the engine wrote its last report once more on the kept connection before the response; the report from before an order counted as the state after it, so that a role change was announced as settled while the engine still changed; a usage report that got 503 counted as delivered and its window stayed missing.

Cause: these calls carry no identifier that a response repeats, so that on a kept connection only the order of the bytes ties a response to its call. Besides, any JSON was a report: missing fields became "not busy, no orders accepted".

Each of these calls, of which there are a few per role change or window, now goes over a connection that has carried no call. A report without a role, busy or a whole number of orders is none.

--- a/src/main/java/org/vanilladoor/platform/FleetClient.java
+++ b/src/main/java/org/vanilladoor/platform/FleetClient.java
@@ -14,12 +14,15 @@
 import org.vanilladoor.leader.FencingToken;
 import org.vanilladoor.leader.FleetOperations;
 import org.vanilladoor.provider.StoreUnavailableException;
+import org.vanilladoor.transport.ConnectionUse;
 
 /**
  * Sends usage reports and orders in the format of the operators' platform.
  *
  * <p>Usage reports and scaling orders go to the platform's cloud interface, role changes to the
- * engines. Invariant: no call is retried. Confined to the control thread.
+ * engines. Invariants: no call is retried; each goes over a connection that has carried no call
+ * before, since nothing in a response tells which call it belongs to. Confined to the control
+ * thread.
  */
 final class FleetClient implements FleetOperations {
     /** Time-out for a response; the platform usually responds within a few milliseconds. */
@@ -74,16 +77,8 @@
     @Override
     public CompletableFuture<EngineReport> readEngineReport(Endpoint engine) {
         HttpRequest request = OperatorWireFormat.newEndpointRequest("GET", "/api/report", engine);
-        return mCalls.send(engine.address(), request, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
-                .thenApply(
-                        response -> {
-                            JsonNode report = response.requireSuccess();
-                            return new EngineReport(
-                                    EndpointDecoder.decodeRole(report.path("phase")),
-                                    report.path("busy").asBoolean(false),
-                                    // Number of accepted orders, not of received messages.
-                                    report.path("seq").asLong());
-                        });
+        return send(engine.address(), request, Optional.empty())
+                .thenApply(response -> decodeEngineReport(response.requireSuccess()));
     }
 
     @Override
@@ -105,7 +100,7 @@
         body.put("fence", token.term());
         body.put("expected", acceptedOrders);
         HttpRequest request = OperatorWireFormat.newEndpointRequest("POST", "/api/order", engine);
-        return mCalls.send(engine.address(), request, Optional.of(body), RESPONSE_TIMEOUT_MILLIS)
+        return send(engine.address(), request, Optional.of(body))
                 .thenAccept(PlatformCalls.Response::requireSuccess);
     }
 
@@ -119,7 +114,23 @@
         HttpRequest request = new BasicHttpRequest("POST", path);
         request.addHeader(Headers.HOLDER, token.holder());
         request.addHeader(Headers.TERM, token.term());
-        return mCalls.send(
-                mCloudAddress.get(), request, Optional.of(body), RESPONSE_TIMEOUT_MILLIS);
+        return send(mCloudAddress.get(), request, Optional.of(body));
+    }
+
+    private CompletableFuture<PlatformCalls.Response> send(
+            HostPort address, HttpRequest request, Optional<Object> body) {
+        return mCalls.send(address, ConnectionUse.NEW, request, body, RESPONSE_TIMEOUT_MILLIS);
+    }
+
+    private static EngineReport decodeEngineReport(JsonNode report) {
+        JsonNode role = report.path("phase");
+        JsonNode busy = report.path("busy");
+        // Number of accepted orders, not of received messages.
+        JsonNode acceptedOrders = report.path("seq");
+        if (!role.isTextual() || !busy.isBoolean() || !acceptedOrders.isIntegralNumber()) {
+            throw new StoreUnavailableException("the response is no report of an engine");
+        }
+        return new EngineReport(
+                EndpointDecoder.decodeRole(role), busy.asBoolean(), acceptedOrders.asLong());
     }
 }
--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -16,6 +16,7 @@
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.StoredObjectLister;
 import org.vanilladoor.provider.VersionConflictException;
+import org.vanilladoor.transport.ConnectionUse;
 
 /**
  * Client of the platform's object store.
@@ -219,7 +220,12 @@
 
     private CompletableFuture<PlatformCalls.Response> send(
             String method, String path, Optional<Object> body, long timeoutMillis) {
-        return mCalls.send(mAddress, new BasicHttpRequest(method, path), body, timeoutMillis);
+        return mCalls.send(
+                mAddress,
+                ConnectionUse.ANY,
+                new BasicHttpRequest(method, path),
+                body,
+                timeoutMillis);
     }
 
     private static StoredObject toStoredObject(String name, JsonNode object) {
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -55,11 +55,17 @@
     /**
      * Sends a request.
      *
+     * @param address address of the peer
+     * @param use connections that may carry the call
      * @param body content to be sent as JSON, if any
      * @param timeoutMillis time-out for the complete response, including connecting
      */
     CompletableFuture<Response> send(
-            HostPort address, HttpRequest request, Optional<Object> body, long timeoutMillis) {
+            HostPort address,
+            ConnectionUse use,
+            HttpRequest request,
+            Optional<Object> body,
+            long timeoutMillis) {
         CompletableFuture<Response> result = new CompletableFuture<>();
         String description = request.getMethod() + " " + request.getRequestUri();
         if (!request.containsHeader(HttpHeaders.HOST)) {
@@ -73,7 +79,7 @@
                     OutgoingCall call =
                             mConnections.send(
                                     address,
-                                    ConnectionUse.ANY,
+                                    use,
                                     CONNECT_TIMEOUT_MILLIS,
                                     request,
                                     bodyBytes,
--- a/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
+++ b/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
@@ -20,6 +20,7 @@
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
 import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.transport.ConnectionPool;
+import org.vanilladoor.transport.ConnectionUse;
 
 /**
  * Guards against responses to this system's own calls that never end, and against taking the second
@@ -100,6 +101,7 @@
         CompletableFuture<JsonNode> body =
                 mCalls.send(
                                 mPeer.address(),
+                                ConnectionUse.ANY,
                                 new BasicHttpRequest("GET", "/"),
                                 Optional.empty(),
                                 CALL_TIMEOUT_MILLIS)
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/RepeatedControlResponseTests.java
@@ -0,0 +1,132 @@
+package org.vanilladoor.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.function.Executable;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.fleet.Endpoint;
+import org.vanilladoor.fleet.Endpoints;
+import org.vanilladoor.leader.FencingToken;
+import org.vanilladoor.leader.FleetOperations.EngineReport;
+import org.vanilladoor.leader.FleetOperations.ScaleOrder;
+import org.vanilladoor.platform.ScriptedEndpoint.Answer;
+import org.vanilladoor.platform.ScriptedEndpoint.End;
+import org.vanilladoor.platform.ScriptedEndpoint.Received;
+import org.vanilladoor.provider.StoreUnavailableException;
+import org.vanilladoor.transport.ConnectionPool;
+
+/**
+ * Engines and platforms that send the response to one of this system's own calls once more before
+ * the next response on the same connection.
+ */
+@Timeout(30)
+class RepeatedControlResponseTests {
+    private static final FencingToken TOKEN = new FencingToken("vm", 3);
+    private static final String IDLE_REPORT =
+            "200 {\"phase\":\"prefill\",\"busy\":false,\"seq\":1}";
+    private static final String BUSY_REPORT = "200 {\"phase\":\"decode\",\"busy\":true,\"seq\":2}";
+    private static final String CONFLICT = "409 {\"error\":\"another order is in progress\"}";
+    private final ControlLoop mControl = ControlLoop.start("control");
+    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    private final PlatformCalls mCalls = PlatformCalls.create(mControl, mConnections);
+    private final Map<Integer, String> mLastResponses = new ConcurrentHashMap<>();
+    private ScriptedEndpoint mPeer;
+
+    @AfterEach
+    void stop() throws IOException {
+        mConnections.close();
+        mControl.close();
+        mPeer.close();
+    }
+
+    @Test
+    void aReportIsNotTakenForTheResponseToAnOrder() throws Exception {
+        FleetClient client = clientOf(IDLE_REPORT, CONFLICT);
+        client.readEngineReport(engine()).join();
+        assertUnavailable(() -> client.changeRole(engine(), EngineRole.DECODE, 1, TOKEN).join());
+    }
+
+    @Test
+    void theReportFromBeforeAnOrderIsNotTakenForTheOneAfterIt() throws Exception {
+        FleetClient client = clientOf(IDLE_REPORT, BUSY_REPORT);
+        client.readEngineReport(engine()).join();
+        assertThat(client.readEngineReport(engine()).join())
+                .isEqualTo(new EngineReport(EngineRole.DECODE, true, 2));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "200 {}",
+                "200 text",
+                "200 []",
+                "202 {\"phase\":\"decode\",\"busy\":false}",
+                "200 {\"phase\":\"decode\",\"busy\":\"no\",\"seq\":1}",
+                "200 {\"phase\":7,\"busy\":false,\"seq\":1}",
+                "200 {\"phase\":\"decode\",\"busy\":false,\"seq\":1.5}"
+            })
+    void aResponseThatLacksAFieldOfAReportIsNoReport(String response) throws Exception {
+        FleetClient client = clientOf(response);
+        assertUnavailable(() -> client.readEngineReport(engine()).join());
+    }
+
+    @Test
+    void theResponseToAUsageReportIsNotTakenForTheOneToTheNextReport() throws Exception {
+        FleetClient client = clientOf("200 {}", "503 {}");
+        client.reportUsage(1, Map.of("team", 1L), TOKEN).join();
+        assertUnavailable(() -> client.reportUsage(2, Map.of("team", 2L), TOKEN).join());
+    }
+
+    @Test
+    void theResponseToAScalingOrderIsNotTakenForTheOneToTheNextOrder() throws Exception {
+        FleetClient client = clientOf("200 {}", "409 {}");
+        assertThat(client.scale(new ScaleOrder("s", "a", 2, false), TOKEN).join()).isTrue();
+        assertThat(client.scale(new ScaleOrder("s", "a", 3, false), TOKEN).join()).isFalse();
+    }
+
+    private Endpoint engine() {
+        return Endpoints.at("e", "a", EngineRole.PREFILL, mPeer.address());
+    }
+
+    private static void assertUnavailable(Executable call) {
+        CompletionException failure = assertThrows(CompletionException.class, call);
+        assertThat(failure).hasCauseThat().isInstanceOf(StoreUnavailableException.class);
+    }
+
+    private FleetClient clientOf(String... responses) throws IOException {
+        ObjectClient store = storeOf(responses);
+        return FleetClient.create(mCalls, store, Optional.of(mPeer.address()));
+    }
+
+    /** Starts a peer that gives the responses, each as status and body, in this order. */
+    private ObjectClient storeOf(String... responses) throws IOException {
+        Queue<String> remaining = new ArrayDeque<>(List.of(responses));
+        mPeer = ScriptedEndpoint.start(received -> repeat(received, remaining.remove()));
+        return ObjectClient.create(mCalls, mPeer.address());
+    }
+
+    private Answer repeat(Received received, String response) {
+        String status = response.substring(0, 3);
+        String body = response.substring(4);
+        String text =
+                "HTTP/1.1 %s Status\r\nContent-Length: %d\r\n\r\n%s"
+                        .formatted(status, body.length(), body);
+        String earlier = mLastResponses.put(received.connection(), text);
+        return new Answer(earlier == null ? text : earlier + text, End.KEEP);
+    }
+}
