Check that the store's response is the one to the read or write that was sent

Not seen by callers yet: a conditional write counted as done on any successful response with a JSON body, and its version was whatever stood there, or 0. The response to an earlier write of the same lease would have let a VM hold a lease that another one had taken, and a read would have returned another object.

Cause: nothing of the response but its status was compared with the call. The store returns the object itself, so that it can be: the response to a read or a write now has to have the name that was asked for and a version; after a write, a later version than the one it replaced, or the same version and the content that was written, for a write that changed nothing. Otherwise the call fails like one without a response, which its callers already treat as "may have taken effect".

Connections to the store are still reused: leases and reports are written several times a second, and unlike endpoints the store isn't known to send a response twice. Not covered: lists and watches, whose responses don't name their kind, and deletions.

The platform of the warm-up gave each write the same version; it now counts.

--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -13,6 +13,7 @@
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.provider.ObjectStore;
+import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.StoredObjectLister;
 import org.vanilladoor.provider.VersionConflictException;
@@ -24,8 +25,9 @@
  * <p>The names of our own objects have the form {@code kind/name}. In the store, their kinds begin
  * with {@value #KIND_PREFIX}, which distinguishes them from the platform's kinds, and slashes in
  * the rest of the name become dots. Invariants: no call is retried; a call without a response in
- * time fails with {@link org.vanilladoor.provider.StoreUnavailableException}, and its connection is
- * closed, since it can't be used for another call. Methods may be called by any thread; futures
+ * time fails with {@link StoreUnavailableException}, and its connection is closed, since it can't
+ * be used for another call. A response counts as the one to a read or a write only if it has that
+ * object, and after a write a later version of it. Methods may be called by any thread; futures
  * complete on the control thread.
  */
 final class ObjectClient implements ObjectStore, StoredObjectLister {
@@ -57,7 +59,10 @@
                                 response.status() == HttpStatus.SC_NOT_FOUND
                                         ? Optional.empty()
                                         : Optional.of(
-                                                toStoredObject(name, response.requireSuccess())));
+                                                toStoredObject(
+                                                        name,
+                                                        requireObject(
+                                                                response, platformName(name)))));
     }
 
     @Override
@@ -66,7 +71,8 @@
         meta.put("name", platformName(name));
         ObjectNode body = Json.newObject();
         body.set("meta", meta);
-        body.set("spec", Json.read(content, JsonNode.class));
+        JsonNode spec = Json.read(content, JsonNode.class);
+        body.set("spec", spec);
         boolean isNew = expectedVersion == ABSENT;
         if (!isNew) {
             meta.put("rev", expectedVersion);
@@ -81,7 +87,8 @@
                             if (isConflict) {
                                 throw new VersionConflictException(name);
                             }
-                            return response.requireSuccess().path("meta").path("rev").asLong();
+                            return requireWritten(
+                                    response, platformName(name), expectedVersion, "spec", spec);
                         });
     }
 
@@ -160,7 +167,7 @@
         body.set("status", status);
         String path = PATH + kind + "/" + name + "/status";
         return send("PUT", path, Optional.of(body), RESPONSE_TIMEOUT_MILLIS)
-                .thenAccept(PlatformCalls.Response::requireSuccess);
+                .thenAccept(response -> requireObject(response, name));
     }
 
     /**
@@ -174,25 +181,83 @@
         return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
                 .thenCompose(
                         response -> {
-                            JsonNode object = response.requireSuccess();
+                            JsonNode object = requireObject(response, name);
                             JsonNode status = object.path("status");
-                            ObjectNode body = Json.newObject();
-                            body.putObject("meta")
-                                    .put("name", name)
-                                    .put("rev", object.path("meta").path("rev").asLong());
-                            body.set(
-                                    "status",
+                            long version = versionOf(object);
+                            JsonNode newStatus =
                                     change.apply(
                                             status.isObject()
                                                     ? status.deepCopy()
-                                                    : Json.newObject()));
+                                                    : Json.newObject());
+                            ObjectNode body = Json.newObject();
+                            body.putObject("meta").put("name", name).put("rev", version);
+                            body.set("status", newStatus);
                             return send(
-                                    "PUT",
-                                    path + "/status",
-                                    Optional.of(body),
-                                    RESPONSE_TIMEOUT_MILLIS);
-                        })
-                .thenAccept(PlatformCalls.Response::requireSuccess);
+                                            "PUT",
+                                            path + "/status",
+                                            Optional.of(body),
+                                            RESPONSE_TIMEOUT_MILLIS)
+                                    .thenAccept(
+                                            written ->
+                                                    requireWritten(
+                                                            written, name, version, "status",
+                                                            newStatus));
+                        });
+    }
+
+    /**
+     * Returns the object of a successful response.
+     *
+     * @throws StoreUnavailableException if the call failed, or the response has another object and
+     *     so belongs to another call
+     */
+    private static JsonNode requireObject(PlatformCalls.Response response, String name) {
+        JsonNode object = response.requireSuccess();
+        boolean isOther = object.path("meta").has("name") && !nameOf(object).equals(name);
+        if (isOther || !object.path("meta").path("rev").isIntegralNumber()) {
+            throw new StoreUnavailableException(
+                    response.description() + ": the response belongs to another call");
+        }
+        return object;
+    }
+
+    /**
+     * Returns the version of an object that was written.
+     *
+     * @param field the part of the object that was replaced
+     * @throws StoreUnavailableException if the call failed, or the response shows the object as it
+     *     was before
+     */
+    private static long requireWritten(
+            PlatformCalls.Response response,
+            String name,
+            long expectedVersion,
+            String field,
+            JsonNode content) {
+        JsonNode object = requireObject(response, name);
+        long version = versionOf(object);
+        // A write that changes nothing leaves the version as it is.
+        boolean isUnchanged =
+                version == expectedVersion
+                        && object.path(field).equals(ObjectClient::compareNumbers, content);
+        if (version <= expectedVersion && !isUnchanged) {
+            throw new StoreUnavailableException(
+                    response.description() + ": the response belongs to an earlier call");
+        }
+        return version;
+    }
+
+    /** Returns 0 if both nodes are equal or the same number in different spellings. */
+    private static int compareNumbers(JsonNode left, JsonNode right) {
+        boolean isEqual =
+                left.isNumber() && right.isNumber()
+                        ? left.decimalValue().compareTo(right.decimalValue()) == 0
+                        : left.equals(right);
+        return isEqual ? 0 : 1;
+    }
+
+    private static long versionOf(JsonNode object) {
+        return object.path("meta").path("rev").asLong();
     }
 
     /** Returns the name of an object in the platform's format. */
@@ -229,8 +294,7 @@
     }
 
     private static StoredObject toStoredObject(String name, JsonNode object) {
-        return new StoredObject(
-                name, object.path("meta").path("rev").asLong(), Json.write(object.path("spec")));
+        return new StoredObject(name, versionOf(object), Json.write(object.path("spec")));
     }
 
     private static long currentRevision(JsonNode body) {
--- a/src/main/java/org/vanilladoor/platform/WarmUpPlatform.java
+++ b/src/main/java/org/vanilladoor/platform/WarmUpPlatform.java
@@ -42,6 +42,7 @@
     private final ControlLoop mControl;
     private final FrontServer mServer;
     private final String mCallerHost;
+    private long mVersion;
 
     private WarmUpPlatform(HostPort address, String callerHost) throws IOException {
         mCallerHost = callerHost;
@@ -83,7 +84,7 @@
             respondToRead(exchange, target.substring(OBJECTS_PATH.length()));
         } else {
             ObjectNode written = Json.newObject();
-            written.putObject("meta").put("rev", 1);
+            written.putObject("meta").put("rev", ++mVersion);
             respond(exchange, HttpStatus.SC_OK, written);
         }
     }
--- a/src/test/java/org/vanilladoor/platform/RepeatedControlResponseTests.java
+++ b/src/test/java/org/vanilladoor/platform/RepeatedControlResponseTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
@@ -99,6 +100,51 @@
         assertThat(client.scale(new ScaleOrder("s", "a", 3, false), TOKEN).join()).isFalse();
     }
 
+    @Test
+    void theResponseToAWriteIsNotTakenForTheOneToTheNextWriteOfTheObject() throws Exception {
+        ObjectClient store = storeOf(object("lease", 6, "{\"term\":1}"), "409 {}");
+        assertThat(store.write("locks/lease", 5, json("{\"term\":1}")).join()).isEqualTo(6);
+        assertUnavailable(() -> store.write("locks/lease", 6, json("{\"term\":2}")).join());
+    }
+
+    @Test
+    void theResponseToAWriteIsNotTakenForTheOneToAWriteOfAnotherObject() throws Exception {
+        ObjectClient store = storeOf(object("one", 9, "{}"), "409 {}");
+        assertThat(store.write("locks/one", 5, json("{}")).join()).isEqualTo(9);
+        assertUnavailable(() -> store.write("locks/two", 6, json("{}")).join());
+    }
+
+    @Test
+    void aWriteThatChangesNothingKeepsItsVersion() throws Exception {
+        ObjectClient store = storeOf(object("one", 5, "{\"share\":1}"));
+        assertThat(store.write("locks/one", 5, json("{\"share\":1.0}")).join()).isEqualTo(5);
+    }
+
+    @Test
+    void theResponseToAReadIsNotTakenForTheOneToAReadOfAnotherObject() throws Exception {
+        ObjectClient store = storeOf(object("one", 9, "{}"), "404 {}");
+        assertThat(store.read("locks/one").join()).isNotEqualTo(Optional.empty());
+        assertUnavailable(() -> store.read("locks/two").join());
+    }
+
+    @Test
+    void theResponseToAReadIsNotTakenForTheOneToAStatusUpdate() throws Exception {
+        ObjectClient store = storeOf(object("one", 9, "{}"), "409 {}");
+        assertUnavailable(
+                () ->
+                        store.updateStatus("servers", "one", status -> status.put("mark", "m"))
+                                .join());
+    }
+
+    private static String object(String name, long version, String spec) {
+        return "200 {\"meta\":{\"name\":\"%s\",\"rev\":%d},\"spec\":%s,\"status\":null}"
+                .formatted(name, version, spec);
+    }
+
+    private static byte[] json(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
     private Endpoint engine() {
         return Endpoints.at("e", "a", EngineRole.PREFILL, mPeer.address());
     }
