--- a/src/main/java/org/vanilladoor/transport/ConnectionAnomaly.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionAnomaly.java
@@ -10,6 +10,6 @@
     STRAY_BYTES,
     /** The head of a response contains a second status line. */
     MERGED_HEADS,
-    /** The response belongs to another request. */
+    /** The response belongs to another request, or consists of parts of several responses. */
     FOREIGN_RESPONSE
 }
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -124,6 +124,7 @@
      * Sends a request at most once, over an idle connection or a new one.
      *
      * @param address address of the peer
+     * @param use connections that may carry the call
      * @param connectTimeoutMillis maximum time to connect, in milliseconds
      * @param request request head, including the Host header
      * @param body request body; empty if there is none
@@ -131,6 +132,7 @@
      */
     public OutgoingCall send(
             HostPort address,
+            ConnectionUse use,
             long connectTimeoutMillis,
             HttpRequest request,
             byte[] body,
@@ -138,7 +140,7 @@
         OutgoingCall call =
                 new OutgoingCall(
                         mControl, this, address, connectTimeoutMillis, request, body, listener);
-        PooledConnection idle = takeIdle(address);
+        PooledConnection idle = use.isReuseAllowed() ? takeIdle(address) : null;
         if (idle == null) {
             connect(address, connectTimeoutMillis, call);
         } else {
