Give each request one end that its caller sees

Callers of a stream that had begun, broke off and was resumed at an endpoint that answered with a whole error response got no further byte, no end and no close, not even at the route's timeout.

Cause: whether a request was done (RequestExecution.mDone), whether its stream had begun (RequestProgress.mStreaming) and what had been sent (FrontExchange) were three states, and each place that ended a request had to compare them. EndpointResponseHandler.onRunResponse did not: it marked the request as done and called FrontExchange.respond, which does nothing once a response has started. The timeout then saw a request that was done. RequestExecution.refuse for a 503 without the statement that it was not run had the same fault.

CallerResponse now owns the exchange with the caller and its only state. Before the first event it ends with a response, after it with the end of the stream or a cut; any other end becomes a cut. A request is done exactly if its response has ended, so an end can't be recorded without being sent. Refusals of the gateway take the same way, and CallerResponses is gone. An endpoint that answers a resumed stream with a redirect or a 4xx has failed it like one with a 5xx, so that another endpoint may go on.

Ruled out: closing in FrontExchange.respond alone, since the log would still say "served".

--- /dev/null
+++ b/src/main/java/org/vanilladoor/gateway/CallerResponse.java
@@ -0,0 +1,143 @@
+package org.vanilladoor.gateway;
+
+import org.apache.hc.core5.http.HeaderElements;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpResponse;
+import org.vanilladoor.transport.FrontExchange;
+
+/**
+ * The response to one request, as its caller sees it.
+ *
+ * <p>Invariants: a response ends exactly once. Before its first event it may end with any whole
+ * response; after that only more events follow, until the stream is completed or cut off. An end
+ * that is no longer possible becomes a cut, so that the caller sees one in any case. A stopping
+ * process asks its callers to close their connections. Confined to the control thread.
+ */
+final class CallerResponse {
+    private final GatewayContext mContext;
+    private final FrontExchange mExchange;
+    private State mState = State.NOT_STARTED;
+
+    private CallerResponse(GatewayContext context, FrontExchange exchange) {
+        mContext = context;
+        mExchange = exchange;
+    }
+
+    /** Returns the response to a request, of which nothing has been sent. */
+    static CallerResponse to(GatewayContext context, FrontExchange exchange) {
+        return new CallerResponse(context, exchange);
+    }
+
+    /** Sets an action to run if the caller disconnects before the response has been sent. */
+    void onDisconnect(Runnable action) {
+        mExchange.onDisconnect(action);
+    }
+
+    /** Returns whether events have been forwarded and more may follow. */
+    boolean isStreaming() {
+        return mState == State.STREAMING;
+    }
+
+    boolean isEnded() {
+        return mState == State.ENDED;
+    }
+
+    /** Forwards complete events of the endpoint whose response has the given head. */
+    void forward(HttpResponse endpointHead, byte[] events) {
+        requireNotEnded();
+        if (mState == State.STREAMING) {
+            mExchange.write(events);
+        } else {
+            HttpResponse head = toCallerResponse(endpointHead);
+            mState = State.STREAMING;
+            mExchange.startStream(head, events);
+        }
+    }
+
+    /** Ends with the whole response of an endpoint; a stream is cut off instead. */
+    End respond(HttpResponse endpointHead, byte[] body) {
+        if (mState != State.NOT_STARTED) {
+            return cutOff();
+        }
+        HttpResponse head = toCallerResponse(endpointHead);
+        return end(End.SERVED, () -> mExchange.respond(head, body));
+    }
+
+    /** Ends with a refusal; a stream is cut off instead. */
+    End refuse(Refusal refusal, long retryAfterMillis) {
+        if (mState != State.NOT_STARTED) {
+            return cutOff();
+        }
+        mContext.metrics().countRefusal(refusal);
+        HttpResponse head =
+                addCloseIfStopping(mContext.wireFormat().encodeRefusal(refusal, retryAfterMillis));
+        return end(End.refused(refusal), () -> mExchange.respond(head, new byte[0]));
+    }
+
+    /** Ends a stream after its last event; a response without events is cut off instead. */
+    End complete() {
+        return mState == State.STREAMING ? end(End.SERVED, mExchange::end) : cutOff();
+    }
+
+    /** Closes the connection before the end of the response. */
+    End cutOff() {
+        return end(End.CUT_OFF, mExchange::abort);
+    }
+
+    /** Ends without anything to send, because the caller has disconnected. */
+    End abandon() {
+        return end(End.ABANDONED, () -> {});
+    }
+
+    private HttpResponse toCallerResponse(HttpResponse endpointHead) {
+        return addCloseIfStopping(mContext.wireFormat().toCallerResponse(endpointHead));
+    }
+
+    private HttpResponse addCloseIfStopping(HttpResponse head) {
+        if (mContext.state().isStopping()) {
+            head.setHeader(HttpHeaders.CONNECTION, HeaderElements.CLOSE);
+        }
+        return head;
+    }
+
+    private End end(End end, Runnable sending) {
+        requireNotEnded();
+        mState = State.ENDED;
+        sending.run();
+        return end;
+    }
+
+    private void requireNotEnded() {
+        if (mState == State.ENDED) {
+            throw new IllegalStateException("the response has already ended");
+        }
+    }
+
+    /**
+     * How a response ended.
+     *
+     * @param outcome outcome of the request, as logged
+     */
+    record End(String outcome) {
+        /** The caller was sent a whole response of an endpoint, or the end of a stream. */
+        static final End SERVED = new End("served");
+
+        /** The connection was closed before the response was complete. */
+        static final End CUT_OFF = new End("cut");
+
+        /** The caller had disconnected. */
+        static final End ABANDONED = new End("abandoned");
+
+        /** Returns the end of a response that states why the request was refused. */
+        static End refused(Refusal refusal) {
+            return new End("refused." + refusal);
+        }
+    }
+
+    /** What has been sent so far. */
+    private enum State {
+        NOT_STARTED,
+        STREAMING,
+        ENDED
+    }
+}
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -55,12 +55,7 @@
 
     @Override
     public boolean onData(byte[] bytes) {
-        boolean isEventStream =
-                mStage == EndpointCall.Stage.RUN
-                        && mExecution.route().kind().isStreaming()
-                        && mResponse.isSuccess()
-                        && mResponse.isSigned();
-        if (!isEventStream) {
+        if (!isEventStream()) {
             mBody.writeBytes(bytes);
             return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
         }
@@ -73,22 +68,22 @@
 
     private void forwardEvents(byte[] events) {
         recordProgress();
-        if (mExecution.progress().isStreaming()) {
-            mExecution.exchange().write(events);
-            return;
+        if (!mExecution.isStreaming()) {
+            mExecution.countStartedRequest();
+            mContext.metrics()
+                    .recordDuration(
+                            "requests.first_event_millis",
+                            MonotonicClock.nowMillis() - mExecution.progress().arrivedMillis());
         }
-        mExecution.progress().markStreaming();
-        mExecution.countStartedRequest();
-        mContext.metrics()
-                .recordDuration(
-                        "requests.first_event_millis",
-                        MonotonicClock.nowMillis() - mExecution.progress().arrivedMillis());
-        mExecution
-                .exchange()
-                .startStream(
-                        CallerResponses.addCloseIfStopping(
-                                mContext, mContext.wireFormat().toCallerResponse(mHead)),
-                        events);
+        mExecution.forward(mHead, events);
+    }
+
+    /** Returns whether the body of the response consists of events for the caller. */
+    private boolean isEventStream() {
+        return mStage == EndpointCall.Stage.RUN
+                && mExecution.route().kind().isStreaming()
+                && mResponse.isSuccess()
+                && mResponse.isSigned();
     }
 
     /** Once an engine has gone on after the first event, it has survived the prompt. */
@@ -140,17 +135,7 @@
     private void onRunResponse(Endpoint endpoint) {
         long nowMillis = MonotonicClock.nowMillis();
         if (mExecution.route().kind().isStreaming() && mResponse.isSuccess()) {
-            if (mExecution.progress().isStreaming()
-                    && mExecution.progress().events().endsAtEventBoundary()) {
-                mContext.placement().recordSuccess(endpoint, nowMillis);
-                recordSurvival(nowMillis);
-                mExecution.finish("served", endpoint.name());
-                mExecution.exchange().end();
-            } else {
-                handleBrokenResponse(
-                        endpoint,
-                        "the response stream ended before its first event or inside an event");
-            }
+            onStreamResponse(endpoint);
             return;
         }
         if (!mResponse.isSigned()) {
@@ -159,10 +144,11 @@
                     "the response has no endpoint signature; status " + mResponse.status());
             return;
         }
-        if (mResponse.isServerError()) {
+        // An endpoint that can't go on with a stream has failed, whatever its status.
+        if (mResponse.isServerError() || mExecution.isStreaming()) {
             mContext.placement().recordFailure(endpoint, nowMillis);
             mExecution.progress().countPossibleRun();
-            if (mExecution.mayRunAgain() && mExecution.attemptBudget().tryAcquireRetry(nowMillis)) {
+            if (mayRunAgain() && mExecution.attemptBudget().tryAcquireRetry(nowMillis)) {
                 countStartedUnlessStreaming();
                 mExecution.attemptBudget().recordAcquiredRetry();
                 mExecution.retryElsewhere(
@@ -176,18 +162,31 @@
         if (mResponse.status() == Refusal.NOT_RUN.status()) {
             // To a caller, this status means that the request was not run. The endpoint did not
             // state that, so its response is not forwarded.
-            mExecution.refuse(
+            mExecution.endWithFailure(
                     Refusal.OUTCOME_UNKNOWN,
                     "the endpoint failed with status " + mResponse.status());
             return;
         }
-        mExecution.finish("served", endpoint.name() + " with status " + mResponse.status());
-        mExecution
-                .exchange()
-                .respond(
-                        CallerResponses.addCloseIfStopping(
-                                mContext, mContext.wireFormat().toCallerResponse(mHead)),
-                        mBody.toByteArray());
+        mExecution.endWithResponse(
+                mHead, mBody.toByteArray(), endpoint.name() + " with status " + mResponse.status());
+    }
+
+    private void onStreamResponse(Endpoint endpoint) {
+        if (mExecution.isStreaming() && mExecution.progress().events().endsAtEventBoundary()) {
+            long nowMillis = MonotonicClock.nowMillis();
+            mContext.placement().recordSuccess(endpoint, nowMillis);
+            recordSurvival(nowMillis);
+            mExecution.completeStream(endpoint.name());
+        } else {
+            handleBrokenResponse(
+                    endpoint,
+                    "the response stream ended before its first event or inside an event");
+        }
+    }
+
+    private boolean mayRunAgain() {
+        return mExecution.route().allowsRetryAfterExecution()
+                && mExecution.progress().possibleRuns() < mExecution.route().maximumExecutions();
     }
 
     private void countStartedUnlessStreaming() {
@@ -268,10 +267,9 @@
         long nowMillis = MonotonicClock.nowMillis();
         // A request that may have crashed its engine is not worth another one.
         if (mContext.promptGuard().isSound(mExecution.sharedParts())
-                && mExecution.mayRunAgain()
+                && mayRunAgain()
                 && mExecution.attemptBudget().tryAcquireRetry(nowMillis)) {
             mExecution.attemptBudget().recordAcquiredRetry();
-            mExecution.skipSeparatePrefillIfStreaming();
             mExecution.retryElsewhere(endpoint, reason);
         } else {
             mExecution.endWithFailure(Refusal.OUTCOME_UNKNOWN, reason);
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -174,7 +174,6 @@
     }
 
     private void refuse(FrontExchange exchange, Refusal refusal, String identifier, String reason) {
-        mContext.metrics().countRefusal(refusal);
         EventLog.write(
                 "gateway",
                 "request.refused",
@@ -186,7 +185,7 @@
                 mContext.state().configuration().map(ServingConfiguration::version).orElse(0L),
                 "reason",
                 reason);
-        CallerResponses.refuse(mContext, exchange, refusal, TEMPORARY_REFUSAL_RETRY_AFTER_MILLIS);
+        CallerResponse.to(mContext, exchange).refuse(refusal, TEMPORARY_REFUSAL_RETRY_AFTER_MILLIS);
     }
 
     /**
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.quarantine.PromptVerdict;
@@ -15,9 +16,10 @@
 /**
  * Executes one request: queues it, has its prompt prefilled, runs it and forwards the response.
  *
- * <p>Invariants: at most one response is given. A request that may not run twice is sent again only
- * if its endpoint stated that it has not run it, or if none of it was sent. A retryable refusal is
- * given only if no endpoint can still run the request. Confined to the control thread.
+ * <p>Invariants: the request is done exactly when its {@link CallerResponse} has ended, at its
+ * deadline at the latest. A request that may not run twice is sent again only if its endpoint
+ * stated that it has not run it, or if none of it was sent. A retryable refusal is given only if no
+ * endpoint can still run the request. Confined to the control thread.
  */
 final class RequestExecution {
     /** Prompts longer than this many tokens are prefilled on a separate engine. */
@@ -33,7 +35,7 @@
     private static final long RESPONSE_OVERHEAD_MILLIS = 30;
 
     private final GatewayContext mContext;
-    private final FrontExchange mExchange;
+    private final CallerResponse mResponse;
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final Optional<AuthorizedTeam> mTeam;
@@ -49,7 +51,6 @@
     private EndpointExchange mCall;
     private boolean mPrefillReported;
     private boolean mSkipSeparatePrefill;
-    private boolean mDone;
 
     private RequestExecution(
             GatewayContext context,
@@ -58,7 +59,7 @@
             Route route,
             Optional<AuthorizedTeam> team) {
         mContext = context;
-        mExchange = exchange;
+        mResponse = CallerResponse.to(context, exchange);
         mRequest = request;
         mLog = new RequestLog(request.identifier());
         mRoute = route;
@@ -92,7 +93,7 @@
         mOnEnd = onEnd;
         long nowMillis = MonotonicClock.nowMillis();
         mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
-        mExchange.onDisconnect(this::onCallerDisconnected);
+        mResponse.onDisconnect(this::onCallerDisconnected);
         mContext.control()
                 .schedule(
                         Duration.ofMillis(Math.max(0, mDeadlineMillis - nowMillis)),
@@ -102,7 +103,7 @@
 
     /** Starts the next step: separate prefill, waiting for a prefill engine, or the run. */
     private void proceed() {
-        if (mDone || endIfNotSendable()) {
+        if (isDone() || endIfNotSendable()) {
             return;
         }
         boolean isSeparate = needsSeparatePrefill();
@@ -122,8 +123,8 @@
             endWithFailure(Refusal.QUARANTINED, "a part of the prompt crashes engines");
             return true;
         }
-        // A trial has to reach as few engines as possible.
-        mSkipSeparatePrefill |= verdict == PromptVerdict.TRIAL;
+        // A trial has to reach as few engines as possible, and a stream that pauses has no time.
+        mSkipSeparatePrefill |= verdict == PromptVerdict.TRIAL || isStreaming();
         if (!mContext.placement().hasEndpoint(mService, mExcludedEndpoints, nowMillis)) {
             endWithNoEndpoint();
             return true;
@@ -194,7 +195,7 @@
     }
 
     private void onPrefillTimeout(EndpointExchange call) {
-        if (!mDone && mCall == call) {
+        if (!isDone() && mCall == call) {
             call.abandon();
             mContext.placement().recordUnreachable(call.endpoint(), MonotonicClock.nowMillis());
             retryElsewhere(call.endpoint(), "the prefill timed out");
@@ -277,21 +278,26 @@
      * Refusal#OUTCOME_UNKNOWN} if an endpoint may have run the request.
      */
     void endWithFailure(Refusal refusal, String reason) {
-        cutOrRefuse(mProgress.mayHaveRun() ? Refusal.OUTCOME_UNKNOWN : refusal, reason);
+        refuse(mProgress.mayHaveRun() ? Refusal.OUTCOME_UNKNOWN : refusal, reason);
     }
 
-    private void cutOrRefuse(Refusal refusal, String reason) {
-        if (mProgress.isStreaming()) {
-            finish("cut", reason);
-            mExchange.abort();
-        } else {
-            refuse(refusal, reason);
-        }
+    /** Ends the request with an endpoint's response; a stream that has begun is cut off. */
+    void endWithResponse(HttpResponse endpointHead, byte[] body, String reason) {
+        finish(mResponse.respond(endpointHead, body), reason);
+    }
+
+    /** Ends the request with the end of its stream. */
+    void completeStream(String reason) {
+        finish(mResponse.complete(), reason);
     }
 
-    void refuse(Refusal refusal, String reason) {
-        mContext.metrics().countRefusal(refusal);
-        finish("refused." + refusal, reason);
+    /** Forwards complete events of the endpoint whose response has the given head. */
+    void forward(HttpResponse endpointHead, byte[] events) {
+        mResponse.forward(endpointHead, events);
+    }
+
+    private void refuse(Refusal refusal, String reason) {
+        leaveQueue();
         long nowMillis = MonotonicClock.nowMillis();
         long retryAfterMillis =
                 RetryAfter.millis(
@@ -301,16 +307,21 @@
                                 .millisUntilRoom(mService, mExcludedEndpoints, nowMillis)
                                 .orElse(0),
                         waitQueue().drainMillis(nowMillis));
-        CallerResponses.refuse(mContext, mExchange, refusal, retryAfterMillis);
+        finish(mResponse.refuse(refusal, retryAfterMillis), reason);
     }
 
     private void onTimeout() {
-        if (mDone) {
+        if (isDone()) {
             return;
         }
         boolean isRouteTimeout = mRoute.timeoutMillis() <= mRequest.callerTimeoutMillis();
         String reason =
                 (isRouteTimeout ? "the route's time" : "the caller's patience") + " is over";
+        abandonCall();
+        refuse(mProgress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.OVERLOADED, reason);
+    }
+
+    private void abandonCall() {
         if (mCall != null) {
             // Abandoning comes first: only then is it final whether the call has been sent.
             mCall.abandon();
@@ -319,42 +330,43 @@
             }
             mCall = null;
         }
-        cutOrRefuse(mProgress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.OVERLOADED, reason);
     }
 
     private void onCallerDisconnected() {
-        if (mDone) {
+        if (isDone()) {
             return;
         }
-        if (mCall != null) {
-            mCall.abandon();
-            mCall = null;
-        }
+        abandonCall();
         mContext.metrics().count("requests.abandoned");
-        finish("abandoned", "the caller disconnected");
+        finish(mResponse.abandon(), "the caller disconnected");
     }
 
-    void finish(String outcome, String reason) {
-        mDone = true;
+    /** Accounts for the request, whose response has ended. */
+    private void finish(CallerResponse.End end, String reason) {
         reportPrefill(false);
-        if (mQueuedRequest != null) {
-            waitQueue().remove(mQueuedRequest);
-            mQueuedRequest = null;
-        }
+        leaveQueue();
         mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS);
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
         mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), tookMillis);
-        mLog.writeEnded(mRoute, outcome, mAttemptBudget, tookMillis, reason);
+        mLog.writeEnded(mRoute, end.outcome(), mAttemptBudget, tookMillis, reason);
         mOnEnd.run();
         waitQueue().advance(MonotonicClock.nowMillis());
     }
 
+    private void leaveQueue() {
+        if (mQueuedRequest != null) {
+            waitQueue().remove(mQueuedRequest);
+            mQueuedRequest = null;
+        }
+    }
+
     Route route() {
         return mRoute;
     }
 
-    FrontExchange exchange() {
-        return mExchange;
+    /** Returns whether the caller has got events of a stream that goes on. */
+    boolean isStreaming() {
+        return mResponse.isStreaming();
     }
 
     /** Clears the current call, which has ended, and returns its endpoint. */
@@ -364,7 +376,6 @@
         return endpoint;
     }
 
-    /** Returns how far the request has come. */
     RequestProgress progress() {
         return mProgress;
     }
@@ -385,7 +396,7 @@
 
     /** Returns whether the request has got its response or its caller has disconnected. */
     boolean isDone() {
-        return mDone;
+        return mResponse.isEnded();
     }
 
     /** Returns the number of calls and their retry budget. */
@@ -393,11 +404,6 @@
         return mAttemptBudget;
     }
 
-    /** Lets a response stream resume on another endpoint without a separate prefill. */
-    void skipSeparatePrefillIfStreaming() {
-        mSkipSeparatePrefill = mProgress.isStreaming();
-    }
-
     /** Continues with the run after a separate prefill. */
     void onPrefillComplete(KvCacheReference kvCache) {
         mAttemptBudget.recordPrefillAccepted();
@@ -406,11 +412,6 @@
         waitQueue().advance(MonotonicClock.nowMillis());
     }
 
-    boolean mayRunAgain() {
-        return mRoute.allowsRetryAfterExecution()
-                && mProgress.possibleRuns() < mRoute.maximumExecutions();
-    }
-
     void countStartedRequest() {
         mTeam.ifPresent(team -> mContext.usage().countStartedRequest(team.name()));
     }
@@ -419,14 +420,14 @@
     private final class QueuedAttempt implements WaitQueue.Attempt {
         @Override
         public boolean tryDispatch() {
-            if (mDone || endIfNotSendable()) {
+            if (isDone() || endIfNotSendable()) {
                 return true;
             }
             if (needsSeparatePrefill() && !tryStartPrefill()) {
                 return false;
             }
             mQueuedRequest = null;
-            if (mCall == null && !mDone) {
+            if (mCall == null && !isDone()) {
                 reportPrefill(false);
                 startRun();
             }
@@ -436,7 +437,7 @@
         @Override
         public void abandon(int ahead, long turnMillis) {
             mQueuedRequest = null;
-            if (!mDone) {
+            if (!isDone()) {
                 endWithFailure(
                         Refusal.OVERLOADED,
                         "a prefill engine would have room in %d ms, after %d other requests"
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -12,7 +12,6 @@
     private final EventAssembler mEvents = EventAssembler.create();
     private int mPossibleRuns;
     private boolean mMayHaveRun;
-    private boolean mStreaming;
 
     private RequestProgress() {}
 
@@ -30,15 +29,6 @@
         return mEvents;
     }
 
-    /** Returns whether a streaming response to the caller has started. */
-    boolean isStreaming() {
-        return mStreaming;
-    }
-
-    void markStreaming() {
-        mStreaming = true;
-    }
-
     /** Returns whether an endpoint may have run the request. */
     boolean mayHaveRun() {
         return mMayHaveRun;
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -234,7 +234,8 @@
                         route("/safe/", RouteKind.IDEMPOTENT, false, false),
                         route("/open/", RouteKind.IDEMPOTENT, true, false),
                         route("/chat/", RouteKind.STREAM, false, false),
-                        route("/resume/", RouteKind.STREAM, false, true)),
+                        route("/resume/", RouteKind.STREAM, false, true),
+                        route("/resume-often/", RouteKind.STREAM, false, true)),
                 List.of(),
                 new RequestSizeLimits(8_192, 1_000),
                 Map.of("secret", new AuthorizedTeam("team", OptionalInt.empty())),
@@ -252,12 +253,19 @@
                 150,
                 0,
                 List.of(new Route.WeightedService(Endpoints.SERVICE, 1)),
-                kind == RouteKind.AT_MOST_ONCE ? 1 : 2,
+                maximumExecutions(prefix, kind),
                 open,
                 true,
                 resumable);
     }
 
+    private static int maximumExecutions(String prefix, RouteKind kind) {
+        if (prefix.equals("/resume-often/")) {
+            return 3;
+        }
+        return kind == RouteKind.AT_MOST_ONCE ? 1 : 2;
+    }
+
     /** Keeps the evidence of this VM to itself. */
     private static final class UnpublishedReports implements CrashReportPublisher {
         @Override
