--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -205,6 +205,39 @@
                         });
     }
 
+    /** Returns the name of an object in the platform's format. */
+    static String nameOf(JsonNode object) {
+        return object.path("meta").path("name").asText();
+    }
+
+    private CompletableFuture<Listing> listPages(
+            String kind, String query, String after, List<JsonNode> found) {
+        String pageQuery = after.isEmpty() ? query : query + "&after=" + after;
+        String path = PATH + kind + (pageQuery.isEmpty() ? "" : "?" + pageQuery);
+        return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
+                .thenCompose(
+                        response -> {
+                            JsonNode body = response.requireSuccess();
+                            body.path("items").forEach(found::add);
+                            boolean hasMore = body.path("has_more").asBoolean(false);
+                            return hasMore && !found.isEmpty()
+                                    ? listPages(
+                                            kind, query, nameOf(found.get(found.size() - 1)), found)
+                                    : CompletableFuture.completedFuture(
+                                            new Listing(found, currentRevision(body)));
+                        });
+    }
+
+    private CompletableFuture<PlatformCalls.Response> send(
+            String method, String path, Optional<Object> body, long timeoutMillis) {
+        return mCalls.send(
+                mAddress,
+                ConnectionUse.ANY,
+                new BasicHttpRequest(method, path),
+                body,
+                timeoutMillis);
+    }
+
     /**
      * Returns the object of a successful response.
      *
@@ -260,39 +293,6 @@
         return object.path("meta").path("rev").asLong();
     }
 
-    /** Returns the name of an object in the platform's format. */
-    static String nameOf(JsonNode object) {
-        return object.path("meta").path("name").asText();
-    }
-
-    private CompletableFuture<Listing> listPages(
-            String kind, String query, String after, List<JsonNode> found) {
-        String pageQuery = after.isEmpty() ? query : query + "&after=" + after;
-        String path = PATH + kind + (pageQuery.isEmpty() ? "" : "?" + pageQuery);
-        return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
-                .thenCompose(
-                        response -> {
-                            JsonNode body = response.requireSuccess();
-                            body.path("items").forEach(found::add);
-                            boolean hasMore = body.path("has_more").asBoolean(false);
-                            return hasMore && !found.isEmpty()
-                                    ? listPages(
-                                            kind, query, nameOf(found.get(found.size() - 1)), found)
-                                    : CompletableFuture.completedFuture(
-                                            new Listing(found, currentRevision(body)));
-                        });
-    }
-
-    private CompletableFuture<PlatformCalls.Response> send(
-            String method, String path, Optional<Object> body, long timeoutMillis) {
-        return mCalls.send(
-                mAddress,
-                ConnectionUse.ANY,
-                new BasicHttpRequest(method, path),
-                body,
-                timeoutMillis);
-    }
-
     private static StoredObject toStoredObject(String name, JsonNode object) {
         return new StoredObject(name, versionOf(object), Json.write(object.path("spec")));
     }
