Resume a stream only with signed events

Callers of a resumed stream found the text of another response between their events, or the stream ended as if it were complete though its rest was missing.

Cause: EndpointResponseHandler took any signed success on a stream route for events, whatever its content type, and took any success for the end of a stream that had begun, even without a signature: those bytes went to a buffer that nobody looked at again.

Whether a response consists of events is now decided once, at its head: a success, signed, without content encoding and of the type text/event-stream. A first response may leave its type out, since nothing contradicts it; one that goes on with a stream may not. Only such a response can complete the stream. One without any event still does: a signed and complete stream of no events says that nothing follows the last one, which is what a run that broke off after its last event has to answer.

Evidence: ResumedStreamTests, before: 16 of 66 tests failed (unsigned events, unsigned empty stream, JSON with empty lines, text like events, empty JSON, no content type, 204, encoded events; each as the last call and with a third endpoint left): the stream looked complete after its first event, or contained the JSON. After: cut off, or resumed at the third endpoint. Ruled out: the same for first responses without a type; ForwardingHazardsTests has such an endpoint, and refusing it would serve nobody.

--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -2,6 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
@@ -13,10 +16,10 @@
  * Handles the response to one endpoint call: forwards it to the caller, retries, or refuses the
  * request.
  *
- * <p>Invariants: a streaming response is forwarded in complete events only; any other response is
- * forwarded only if it is complete and carries the endpoint's signature. An endpoint failure that
- * does not state that the request was not run is never reported to the caller as not run. Confined
- * to the control thread.
+ * <p>Invariants: only signed event streams are forwarded into a stream, in complete events; any
+ * other response is forwarded only if it is complete and carries the endpoint's signature. An
+ * endpoint failure that does not state that the request was not run is never reported to the caller
+ * as not run. Confined to the control thread.
  */
 final class EndpointResponseHandler implements EndpointExchange.Listener {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -36,6 +39,7 @@
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private EndpointResponse mResponse;
     private HttpResponse mHead;
+    private boolean mIsEventStream;
     private boolean mHasBegun;
     private long mBegunMillis;
     private boolean mSurvived;
@@ -51,11 +55,27 @@
     public void onHead(HttpResponse head, EndpointResponse response) {
         mHead = head;
         mResponse = response;
+        mIsEventStream =
+                mStage == EndpointCall.Stage.RUN
+                        && mExecution.route().kind().isStreaming()
+                        && response.isSuccess()
+                        && response.isSigned()
+                        && !head.containsHeader(HttpHeaders.CONTENT_ENCODING)
+                        && isEventStreamType(head.getFirstHeader(HttpHeaders.CONTENT_TYPE));
+    }
+
+    /** An undeclared type is taken for a stream of events, unless it would go on with another. */
+    private boolean isEventStreamType(Header contentType) {
+        if (contentType == null) {
+            return !mExecution.isStreaming();
+        }
+        return ContentType.TEXT_EVENT_STREAM.isSameMimeType(
+                ContentType.parseLenient(contentType.getValue()));
     }
 
     @Override
     public boolean onData(byte[] bytes) {
-        if (!isEventStream()) {
+        if (!mIsEventStream) {
             mBody.writeBytes(bytes);
             return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
         }
@@ -78,14 +98,6 @@
         mExecution.forward(mHead, events);
     }
 
-    /** Returns whether the body of the response consists of events for the caller. */
-    private boolean isEventStream() {
-        return mStage == EndpointCall.Stage.RUN
-                && mExecution.route().kind().isStreaming()
-                && mResponse.isSuccess()
-                && mResponse.isSigned();
-    }
-
     /** Once an engine has gone on after the first event, it has survived the prompt. */
     private void recordProgress() {
         long nowMillis = MonotonicClock.nowMillis();
@@ -172,7 +184,12 @@
     }
 
     private void onStreamResponse(Endpoint endpoint) {
-        if (mExecution.isStreaming() && mExecution.progress().events().endsAtEventBoundary()) {
+        if (!mIsEventStream) {
+            handleBrokenResponse(
+                    endpoint,
+                    "the response is not a signed event stream; status " + mResponse.status());
+        } else if (mExecution.isStreaming()
+                && mExecution.progress().events().endsAtEventBoundary()) {
             long nowMillis = MonotonicClock.nowMillis();
             mContext.placement().recordSuccess(endpoint, nowMillis);
             recordSurvival(nowMillis);
--- a/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
@@ -250,8 +250,31 @@
                         changed(received, "200 Status", "500 Status", events200(End.KEEP, SECOND))),
         UNSIGNED_SERVER_ERROR(
                 received -> changed(received, "Vanilladoor-Stamp: proof\r\n", "", status(500, ""))),
+        UNSIGNED_EVENTS(
+                received ->
+                        changed(
+                                received,
+                                "Vanilladoor-Stamp: proof\r\n",
+                                "",
+                                events200(End.KEEP, SECOND))),
+        UNSIGNED_EMPTY_STREAM(
+                received ->
+                        changed(received, "Vanilladoor-Stamp: proof\r\n", "", events200(End.KEEP))),
         OTHER_IDENTIFIER(
                 received -> changed(received, "Id: id-1", "Id: x", events200(End.KEEP, SECOND))),
+        JSON(body(200, "Content-Type: application/json\r\n", "{\"error\":\"late\"}")),
+        JSON_WITH_EMPTY_LINES(body(200, "Content-Type: application/json\r\n", "{\n\n}\n\n")),
+        TEXT_LIKE_EVENTS(body(200, "Content-Type: text/plain\r\n", SECOND)),
+        EMPTY_JSON(body(200, "Content-Type: application/json\r\n", "")),
+        EMPTY_WITHOUT_TYPE(body(200, "", "")),
+        NO_CONTENT(received -> new Answer(ScriptedEndpoint.head(received, 204) + "\r\n", End.KEEP)),
+        ENCODED_EVENTS(
+                received ->
+                        changed(
+                                received,
+                                "Transfer-",
+                                "Content-Encoding: gzip\r\nTransfer-",
+                                events200(End.KEEP, SECOND))),
         HALF_AN_EVENT(events200(End.KEEP, "id: 2\ndata: tw")),
         NO_RESPONSE(received -> new Answer("no response\r\n\r\n", End.CLOSE)),
         CLOSED(received -> new Answer("", End.CLOSE)),
