Accept only events that follow the last one

Callers of a resumed stream got events twice if the next endpoint began again at the first event, and missed events if it began later; the stream looked complete in both cases. A stream without identifiers was started over after it had broken off.

Cause: EventAssembler remembered the identifier of the last event only to send it as Last-Event-Id. It did not compare what came back, and a stream without identifiers counted as resumable.

EventSequence holds the order of what a caller gets, over all runs. Numbers have to grow. The first event of a further run has to be the next number as long as all were consecutive; where an endpoint has left numbers out itself, any larger one is accepted, since endpoints only promise that identifiers grow. On a resumable route the first run has to begin after the event that the caller names. What doesn't follow is a broken run: nothing of it is forwarded from there on, its connection is closed, and another endpoint may go on. After an event without identifier no other run may.

ForwardingHazardsTests.aSlowStreamGoesOnUntilItsDeadline sent the identifier 1 in every event, which is now a fault of the endpoint; its events have none, and the check is the same.

--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -16,10 +16,10 @@
  * Handles the response to one endpoint call: forwards it to the caller, retries, or refuses the
  * request.
  *
- * <p>Invariants: only signed event streams are forwarded into a stream, in complete events; any
- * other response is forwarded only if it is complete and carries the endpoint's signature. An
- * endpoint failure that does not state that the request was not run is never reported to the caller
- * as not run. Confined to the control thread.
+ * <p>Invariants: only signed event streams are forwarded into a stream, in complete events whose
+ * identifiers grow; any other response is forwarded only if it is complete and carries the
+ * endpoint's signature. An endpoint failure that does not state that the request was not run is
+ * never reported to the caller as not run. Confined to the control thread.
  */
 final class EndpointResponseHandler implements EndpointExchange.Listener {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -83,7 +83,8 @@
         if (completeEvents.length > 0) {
             forwardEvents(completeEvents);
         }
-        return mExecution.progress().events().partialBytes() <= MAXIMUM_EVENT_BYTES;
+        return !mExecution.progress().events().isOutOfOrder()
+                && mExecution.progress().events().partialBytes() <= MAXIMUM_EVENT_BYTES;
     }
 
     private void forwardEvents(byte[] events) {
@@ -203,6 +204,7 @@
 
     private boolean mayRunAgain() {
         return mExecution.route().allowsRetryAfterExecution()
+                && mExecution.progress().events().isResumable()
                 && mExecution.progress().possibleRuns() < mExecution.route().maximumExecutions();
     }
 
@@ -232,7 +234,10 @@
             mExecution.retryElsewhere(endpoint, failure.reason());
         } else {
             mExecution.progress().markPossiblyRun();
-            handleBrokenResponse(endpoint, failure.reason());
+            boolean isOutOfOrder = mExecution.progress().events().isOutOfOrder();
+            handleBrokenResponse(
+                    endpoint,
+                    isOutOfOrder ? "an event does not follow the last one" : failure.reason());
         }
     }
 
--- a/src/main/java/org/vanilladoor/gateway/EventAssembler.java
+++ b/src/main/java/org/vanilladoor/gateway/EventAssembler.java
@@ -8,38 +8,49 @@
 /**
  * Buffers the bytes of a server-sent event stream and releases them in complete events.
  *
- * <p>Invariant: only complete events are returned, in order and byte for byte. Confined to the
- * control thread.
+ * <p>Invariant: only complete events are returned, in order and byte for byte; once a run has sent
+ * one that does not follow the last, none of its events is. Confined to the control thread.
  */
 final class EventAssembler {
     private static final String IDENTIFIER_FIELD = "id:";
+    private static final String DATA_FIELD = "data";
     private final ByteArrayOutputStream mPartial = new ByteArrayOutputStream();
-    private Optional<String> mLastIdentifier = Optional.empty();
+    private final EventSequence mSequence;
+    private boolean mOutOfOrder;
 
-    private EventAssembler() {}
+    private EventAssembler(EventSequence sequence) {
+        mSequence = sequence;
+    }
 
-    static EventAssembler create() {
-        return new EventAssembler();
+    /**
+     * Returns an assembler without events.
+     *
+     * @param before identifier of the last event that the caller has from an earlier response
+     */
+    static EventAssembler after(Optional<String> before) {
+        return new EventAssembler(EventSequence.after(before));
     }
 
     /** Adds bytes and returns the events that are now complete, or an empty array. */
     byte[] add(byte[] bytes) {
-        mPartial.writeBytes(bytes);
-        byte[] buffered = mPartial.toByteArray();
-        int endOfEvents = endOfLastEvent(buffered);
-        if (endOfEvents == 0) {
+        if (mOutOfOrder) {
             return new byte[0];
         }
+        mPartial.writeBytes(bytes);
+        byte[] buffered = mPartial.toByteArray();
+        int end = endOfAcceptedEvents(buffered);
         mPartial.reset();
-        mPartial.write(buffered, endOfEvents, buffered.length - endOfEvents);
-        byte[] completeEvents = Arrays.copyOf(buffered, endOfEvents);
-        updateLastIdentifier(completeEvents);
-        return completeEvents;
+        if (!mOutOfOrder) {
+            mPartial.write(buffered, end, buffered.length - end);
+        }
+        return Arrays.copyOf(buffered, end);
     }
 
-    /** Discards the buffered start of an event that the endpoint did not complete. */
-    void discardPartialEvent() {
+    /** Begins a further run and discards the start of an event that the last one left behind. */
+    void startRun() {
         mPartial.reset();
+        mOutOfOrder = false;
+        mSequence.startRun();
     }
 
     /** Returns the size of the event that has begun but is not complete. */
@@ -52,18 +63,52 @@
         return mPartial.size() == 0;
     }
 
+    /** Returns whether the run has sent an event that does not follow the last one. */
+    boolean isOutOfOrder() {
+        return mOutOfOrder;
+    }
+
+    /** Returns whether another run can go on after the last event. */
+    boolean isResumable() {
+        return mSequence.isResumable();
+    }
+
     /** Returns the identifier of the last complete event that had one. */
     Optional<String> lastIdentifier() {
-        return mLastIdentifier;
+        return mSequence.lastIdentifier();
     }
 
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int index = bytes.length; index > 1; index--) {
-            if (bytes[index - 1] == '\n' && endsEmptyLine(bytes, index - 1)) {
-                return index;
+    private int endOfAcceptedEvents(byte[] bytes) {
+        int start = 0;
+        for (int index = 1; index < bytes.length; index++) {
+            if (bytes[index] != '\n' || !endsEmptyLine(bytes, index)) {
+                continue;
+            }
+            if (!tryAccept(new String(bytes, start, index + 1 - start, StandardCharsets.UTF_8))) {
+                mOutOfOrder = true;
+                return start;
+            }
+            start = index + 1;
+        }
+        return start;
+    }
+
+    private boolean tryAccept(String event) {
+        Optional<String> identifier = Optional.empty();
+        boolean hasData = false;
+        for (String line : event.split("\n")) {
+            hasData |= line.startsWith(DATA_FIELD);
+            if (line.startsWith(IDENTIFIER_FIELD)) {
+                identifier = Optional.of(line.substring(IDENTIFIER_FIELD.length()).strip());
             }
         }
-        return 0;
+        if (identifier.filter(value -> !value.isEmpty()).isPresent()) {
+            return mSequence.tryAccept(identifier.get());
+        }
+        if (hasData) {
+            mSequence.acceptUnidentified();
+        }
+        return true;
     }
 
     /** Returns whether the line feed at the index terminates an empty line. */
@@ -71,16 +116,4 @@
         int previousLineEnd = bytes[index - 1] == '\r' ? index - 2 : index - 1;
         return previousLineEnd >= 0 && bytes[previousLineEnd] == '\n';
     }
-
-    private void updateLastIdentifier(byte[] events) {
-        String text = new String(events, StandardCharsets.ISO_8859_1);
-        int initialField = text.startsWith(IDENTIFIER_FIELD) ? 0 : -1;
-        int lastLineBreak = text.lastIndexOf('\n' + IDENTIFIER_FIELD);
-        int fieldStart = lastLineBreak >= 0 ? lastLineBreak + 1 : initialField;
-        if (fieldStart >= 0) {
-            int valueStart = fieldStart + IDENTIFIER_FIELD.length();
-            int valueEnd = text.indexOf('\n', valueStart);
-            mLastIdentifier = Optional.of(text.substring(valueStart, valueEnd).strip());
-        }
-    }
 }
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -44,7 +44,7 @@
     private final RequestLog mLog;
     private final AttemptBudget mAttemptBudget;
     private final Set<String> mExcludedEndpoints = new HashSet<>();
-    private final RequestProgress mProgress = RequestProgress.start();
+    private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
     private Runnable mOnEnd = () -> {};
     private WaitQueue.QueuedRequest mQueuedRequest;
@@ -63,6 +63,7 @@
         mRequest = request;
         mLog = new RequestLog(request.identifier());
         mRoute = route;
+        mProgress = RequestProgress.start(request, route);
         mTeam = team;
         mService = route.service(context.random().nextDouble());
         mAttemptBudget =
@@ -216,7 +217,7 @@
             endWithFailure(Refusal.NOT_RUN, "the retry budget is used up");
             return;
         }
-        mProgress.events().discardPartialEvent();
+        mProgress.events().startRun();
         send(endpoint.get(), EndpointCall.Stage.RUN);
     }
 
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.gateway;
 
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.route.Route;
 
 /**
  * How far a request has come at its endpoints and at its caller.
@@ -9,15 +10,19 @@
  */
 final class RequestProgress {
     private final long mArrivedMillis = MonotonicClock.nowMillis();
-    private final EventAssembler mEvents = EventAssembler.create();
+    private final EventAssembler mEvents;
     private int mPossibleRuns;
     private boolean mMayHaveRun;
 
-    private RequestProgress() {}
+    private RequestProgress(EventAssembler events) {
+        mEvents = events;
+    }
 
     /** Returns the progress of a request that arrives now. */
-    static RequestProgress start() {
-        return new RequestProgress();
+    static RequestProgress start(CallerRequest request, Route route) {
+        return new RequestProgress(
+                EventAssembler.after(
+                        request.lastEventIdentifier().filter(last -> route.resumable())));
     }
 
     long arrivedMillis() {
--- a/src/test/java/org/vanilladoor/gateway/EventAssemblerTests.java
+++ b/src/test/java/org/vanilladoor/gateway/EventAssemblerTests.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -18,7 +19,7 @@
 
     @Test
     void incompleteEventIsHeldBackUntilItIsComplete() {
-        EventAssembler assembler = EventAssembler.create();
+        EventAssembler assembler = EventAssembler.after(Optional.empty());
         assertThat(text(assembler.add(bytes("id: 1\ndata: o")))).isEmpty();
         assertThat(assembler.endsAtEventBoundary()).isFalse();
         assertThat(text(assembler.add(bytes("ne\n\nid: 2\nda")))).isEqualTo("id: 1\ndata: one\n\n");
@@ -30,7 +31,7 @@
     void eventsAreReleasedCompleteAndUnchangedHoweverTheBytesAreSplit(
             @ForAll @Size(min = 1, max = 40)
                     List<@IntRange(min = 1, max = 9) Integer> pieceLengths) {
-        EventAssembler assembler = EventAssembler.create();
+        EventAssembler assembler = EventAssembler.after(Optional.empty());
         ByteArrayOutputStream released = new ByteArrayOutputStream();
         byte[] stream = bytes(STREAM);
         int start = 0;
--- a/src/test/java/org/vanilladoor/platform/ForwardingHazardsTests.java
+++ b/src/test/java/org/vanilladoor/platform/ForwardingHazardsTests.java
@@ -51,7 +51,7 @@
 
     @Test
     void aSlowStreamGoesOnUntilItsDeadline() throws IOException {
-        String event = "id: 1\ndata: a\n\n";
+        String event = "data: a\n\n";
         String chunk = Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
         endpoint("e", received -> slow(ScriptedEndpoint.head(received, 200) + CHUNKED, chunk));
         String response = call("POST", "/chat/x", "body");
--- a/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
@@ -116,6 +116,51 @@
         assertThat(events(seen.text())).isEqualTo(FIRST);
     }
 
+    @Test
+    void aStreamWithoutIdentifiersIsCutOffAndNotStartedOver() throws IOException {
+        Seen seen =
+                streamOver(
+                        "/resume/",
+                        events200(End.CLOSE_WHEN_TRIGGERED, "data: one\n\n"),
+                        events200(End.KEEP, "data: one\n\n", "data: two\n\n"));
+        assertThat(seen.end()).isEqualTo(Ending.CUT);
+        assertThat(events(seen.text())).isEqualTo("data: one\n\n");
+    }
+
+    @Test
+    void eventsWithGapsBetweenTheirIdentifiersAreResumed() throws IOException {
+        Seen seen =
+                streamOver(
+                        "/resume/",
+                        events200(
+                                End.CLOSE_WHEN_TRIGGERED,
+                                "id: 3\ndata: a\n\n",
+                                "id: 7\ndata: b\n\n"),
+                        events200(End.KEEP, "id: 9\ndata: c\n\n"));
+        assertThat(seen.end()).isEqualTo(Ending.COMPLETE);
+        assertThat(events(seen.text()))
+                .isEqualTo("id: 3\ndata: a\n\nid: 7\ndata: b\n\nid: 9\ndata: c\n\n");
+    }
+
+    @Test
+    void anEndpointThatRepeatsAnEventOfItsOwnIsReplaced() throws IOException {
+        Seen seen = streamOver("/resume/", events200(End.KEEP, FIRST, FIRST, SECOND), rest());
+        assertThat(seen.end()).isEqualTo(Ending.COMPLETE);
+        assertThat(events(seen.text())).isEqualTo(FIRST + SECOND + THIRD);
+    }
+
+    @Test
+    void aStreamThatItsCallerResumesDoesNotRepeatEvents() throws IOException {
+        Seen seen =
+                streamOver(
+                        "/resume/",
+                        "Last-Event-Id: 1\r\n",
+                        events200(End.KEEP, FIRST, SECOND),
+                        rest());
+        assertThat(seen.end()).isEqualTo(Ending.COMPLETE);
+        assertThat(events(seen.text())).isEqualTo(SECOND + THIRD);
+    }
+
     @Test
     void aCallerThatLeavesAResumedStreamEndsItsCall() throws IOException {
         int number = addEndpoints(begun(), events200(End.HANG, SECOND));
@@ -275,6 +320,8 @@
                                 "Transfer-",
                                 "Content-Encoding: gzip\r\nTransfer-",
                                 events200(End.KEEP, SECOND))),
+        EARLIER_EVENTS_AGAIN(events200(End.KEEP, FIRST, SECOND, THIRD)),
+        EVENTS_AFTER_A_GAP(events200(End.KEEP, THIRD)),
         HALF_AN_EVENT(events200(End.KEEP, "id: 2\ndata: tw")),
         NO_RESPONSE(received -> new Answer("no response\r\n\r\n", End.CLOSE)),
         CLOSED(received -> new Answer("", End.CLOSE)),
