Let the refusals of the tests of resumed streams be unsigned

A signed refusal contradicts itself since "Take a response that contradicts itself for neither a refusal nor an answer"; it stays as a case of its own.

--- a/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
@@ -283,8 +283,9 @@
         BAD_GATEWAY(status(502, "")),
         GATEWAY_TIMEOUT(status(504, "")),
         UNAVAILABLE(status(503, "")),
-        REFUSED_AS_FULL(status(503, "Vanilladoor-Not-Run: 1\r\n")),
-        MISDIRECTED(status(421, "")),
+        REFUSED_AS_FULL(refused(503)),
+        MISDIRECTED(refused(421)),
+        SIGNED_REFUSAL(status(503, "Vanilladoor-Not-Run: 1\r\n")),
         TOO_MANY_REQUESTS(status(429, "")),
         BAD_REQUEST(status(400, "")),
         NOT_FOUND(status(404, "")),
@@ -339,6 +340,15 @@
             return body(status, "Content-Type: text/plain\r\n" + headers, "the call failed\n\n");
         }
 
+        private static Function<Received, Answer> refused(int status) {
+            return received ->
+                    changed(
+                            received,
+                            "Vanilladoor-Stamp: proof\r\n",
+                            "Vanilladoor-Not-Run: 1\r\n",
+                            status(status, ""));
+        }
+
         private static Function<Received, Answer> body(int status, String headers, String body) {
             return received -> ScriptedEndpoint.response(received, status, headers, body);
         }
