Reuse a blocking connection only if nothing has followed its last response

A caller of HttpConnectionPool got a success where the server had failed the request, or the whole of a response to no request.

Cause: bytes that a server sends after a complete response stay in the buffer or the socket of the pooled connection, and HttpCore reads the next response from there on. isStale() tells only whether the server has closed the connection.

- A connection is reused only if neither its buffer nor its socket has input.
- Heads are parsed by the line parser of package transport, which rejects a second status line in a line, and are checked for two statements of the body's length.
Both classes become public; the parser takes a listener in place of the boundary.
- Connection: close is recognized among other options, and HTTP/1.0 is not kept, as there.

--- a/src/main/java/org/vanilladoor/http/HttpClientResponse.java
+++ b/src/main/java/org/vanilladoor/http/HttpClientResponse.java
@@ -8,9 +8,9 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.io.CloseMode;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.transport.ResponseFraming;
 
 /**
  * The response to a sent request; its body is read on demand.
@@ -23,7 +23,7 @@
     private static final int COPY_BYTES = 8192;
     private final HttpConnectionPool mConnectionPool;
     private final HostPort mAddress;
-    private final DefaultBHttpClientConnection mConnection;
+    private final PooledConnection mConnection;
     private final ClassicHttpResponse mResponse;
     private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile boolean mWholeBodyRead;
@@ -31,7 +31,7 @@
     private HttpClientResponse(
             HttpConnectionPool connectionPool,
             HostPort address,
-            DefaultBHttpClientConnection connection,
+            PooledConnection connection,
             ClassicHttpResponse response) {
         mConnectionPool = connectionPool;
         mAddress = address;
@@ -42,7 +42,7 @@
     static HttpClientResponse create(
             HttpConnectionPool connectionPool,
             HostPort address,
-            DefaultBHttpClientConnection connection,
+            PooledConnection connection,
             ClassicHttpResponse response) {
         return new HttpClientResponse(connectionPool, address, connection, response);
     }
@@ -100,7 +100,7 @@
         if (!mClosed.compareAndSet(false, true)) {
             return;
         }
-        boolean reusable = header("Connection").filter("close"::equalsIgnoreCase).isEmpty();
+        boolean reusable = ResponseFraming.allowsReuseAfter(mResponse);
         if (mWholeBodyRead && reusable && mConnection.isOpen()) {
             mConnectionPool.release(mAddress, mConnection);
         } else {
--- a/src/main/java/org/vanilladoor/http/HttpConnectionPool.java
+++ b/src/main/java/org/vanilladoor/http/HttpConnectionPool.java
@@ -11,8 +11,6 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -25,16 +23,15 @@
  * Sends HTTP requests over connections that are pooled for reuse.
  *
  * <p>Invariants: a request is sent at most once and never retried here; a connection is reused only
- * after its last response was read to the end. Safe for use by any thread; calls block.
+ * after its last response was read to the end, and only if nothing has followed that response. Safe
+ * for use by any thread; calls block.
  */
 public final class HttpConnectionPool implements AutoCloseable {
     private static final int MAXIMUM_IDLE_PER_ADDRESS = 64;
     private final Duration mConnectTimeout;
     private final HttpRequestExecutor mExecutor = new HttpRequestExecutor();
-    private final DefaultBHttpClientConnectionFactory mFactory =
-            DefaultBHttpClientConnectionFactory.builder().build();
-    private final Map<HostPort, ConcurrentLinkedDeque<DefaultBHttpClientConnection>>
-            mIdleConnections = new ConcurrentHashMap<>();
+    private final Map<HostPort, ConcurrentLinkedDeque<PooledConnection>> mIdleConnections =
+            new ConcurrentHashMap<>();
     private volatile boolean mClosed;
 
     private HttpConnectionPool(Duration connectTimeout) {
@@ -57,7 +54,7 @@
      */
     public HttpClientResponse send(
             HostPort address, HttpClientRequest request, Duration readTimeout) throws IOException {
-        DefaultBHttpClientConnection connection =
+        PooledConnection connection =
                 request.retryable() ? reuseOrConnect(address) : connect(address);
         try {
             connection.setSocketTimeout(Timeout.ofMilliseconds(readTimeout.toMillis()));
@@ -77,7 +74,7 @@
         }
     }
 
-    void release(HostPort address, DefaultBHttpClientConnection connection) {
+    void release(HostPort address, PooledConnection connection) {
         var idleConnections =
                 mIdleConnections.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
         if (mClosed || idleConnections.size() >= MAXIMUM_IDLE_PER_ADDRESS) {
@@ -97,13 +94,13 @@
                                 idleConnections.forEach(each -> each.close(CloseMode.IMMEDIATE)));
     }
 
-    private DefaultBHttpClientConnection reuseOrConnect(HostPort address) throws IOException {
+    private PooledConnection reuseOrConnect(HostPort address) throws IOException {
         var idleConnections = mIdleConnections.get(address);
         if (idleConnections != null) {
             for (var idleConnection = idleConnections.pollFirst();
                     idleConnection != null;
                     idleConnection = idleConnections.pollFirst()) {
-                if (isUsable(idleConnection)) {
+                if (idleConnection.isReusable()) {
                     return idleConnection;
                 }
                 idleConnection.close(CloseMode.IMMEDIATE);
@@ -112,20 +109,12 @@
         return connect(address);
     }
 
-    private static boolean isUsable(DefaultBHttpClientConnection connection) {
-        try {
-            return connection.isOpen() && !connection.isStale();
-        } catch (IOException e) {
-            return false;
-        }
-    }
-
-    private DefaultBHttpClientConnection connect(HostPort address) throws IOException {
+    private PooledConnection connect(HostPort address) throws IOException {
         Socket socket = new Socket();
         try {
             socket.setTcpNoDelay(true);
             socket.connect(address.toSocketAddress(), (int) mConnectTimeout.toMillis());
-            return mFactory.createConnection(socket);
+            return PooledConnection.create(socket);
         } catch (IOException e) {
             socket.close();
             throw new NotSentException("no connection to " + address, e);
--- /dev/null
+++ b/src/main/java/org/vanilladoor/http/PooledConnection.java
@@ -0,0 +1,72 @@
+package org.vanilladoor.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultClassicHttpResponseFactory;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.io.HttpMessageParser;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.vanilladoor.transport.ResponseFraming;
+import org.vanilladoor.transport.ResponseLineParser;
+
+/**
+ * A connection to a server that accepts only responses with an unambiguous head, and knows of bytes
+ * that belong to none.
+ *
+ * <p>Confined to one thread at a time; it may be closed by any thread.
+ */
+final class PooledConnection extends DefaultBHttpClientConnection {
+    private final ResponseParser mParser;
+
+    private PooledConnection(ResponseParser parser) {
+        super(Http1Config.DEFAULT, null, null, null, null, null, config -> parser);
+        mParser = parser;
+    }
+
+    /** Returns a connection that uses a connected socket. */
+    static PooledConnection create(Socket socket) throws IOException {
+        PooledConnection connection = new PooledConnection(new ResponseParser());
+        connection.bind(socket);
+        return connection;
+    }
+
+    /** Returns whether the server has neither closed the connection nor sent further bytes. */
+    boolean isReusable() {
+        try {
+            // Looking for the end of the connection reads what has arrived.
+            return isOpen() && !isStale() && !mParser.hasUnreadInput();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Parses the response heads of one connection. */
+    private static final class ResponseParser implements HttpMessageParser<ClassicHttpResponse> {
+        private final HttpMessageParser<ClassicHttpResponse> mParser =
+                new DefaultHttpResponseParser(
+                        Http1Config.DEFAULT,
+                        ResponseLineParser.create(line -> {}),
+                        DefaultClassicHttpResponseFactory.INSTANCE);
+        private SessionInputBuffer mBuffer;
+
+        @Override
+        public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream input)
+                throws IOException, HttpException {
+            mBuffer = buffer;
+            ClassicHttpResponse head = mParser.parse(buffer, input);
+            if (head != null) {
+                ResponseFraming.requireUnambiguous(head);
+            }
+            return head;
+        }
+
+        boolean hasUnreadInput() {
+            return mBuffer != null && mBuffer.length() > 0;
+        }
+    }
+}
--- a/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
@@ -18,7 +18,6 @@
  * arrive otherwise close the connection. Confined to the I/O thread.
  */
 final class ResponseBoundary implements Http1StreamListener {
-    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
     private final Reporter mReporter;
     private final ByteBuffer mUnexpected = ByteBuffer.allocate(1);
     private IOSession mSession;
@@ -65,11 +64,9 @@
         }
     }
 
-    /** Reports a line that contains the start of a further response, and returns a description. */
-    String reportMergedHeads(String line) {
-        String quoted = line.substring(0, Math.min(line.length(), MAXIMUM_QUOTED_CHARACTERS));
-        mReporter.report(ConnectionAnomaly.MERGED_HEADS, quoted);
-        return "two heads are merged: " + quoted;
+    /** Reports a line that contains the start of a further response. */
+    void reportMergedHeads(String line) {
+        mReporter.report(ConnectionAnomaly.MERGED_HEADS, line);
     }
 
     void onHeadParsed(HttpResponse head) {
--- a/src/main/java/org/vanilladoor/transport/ResponseFraming.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseFraming.java
@@ -13,7 +13,7 @@
  *
  * <p>Stateless and safe for use by any thread.
  */
-final class ResponseFraming {
+public final class ResponseFraming {
     private ResponseFraming() {}
 
     /**
@@ -21,7 +21,7 @@
      *
      * @throws ProtocolException if a length or an encoding is stated more than once, or both are
      */
-    static void requireUnambiguous(HttpResponse head) throws ProtocolException {
+    public static void requireUnambiguous(HttpResponse head) throws ProtocolException {
         int statements =
                 head.countHeaders(HttpHeaders.CONTENT_LENGTH)
                         + head.countHeaders(HttpHeaders.TRANSFER_ENCODING);
@@ -31,13 +31,13 @@
     }
 
     /** Returns whether only the end of the connection shows where the body ends. */
-    static boolean endsWithConnection(HttpResponse head) {
+    public static boolean endsWithConnection(HttpResponse head) {
         return !head.containsHeader(HttpHeaders.CONTENT_LENGTH)
                 && !head.containsHeader(HttpHeaders.TRANSFER_ENCODING);
     }
 
     /** Returns whether the peer keeps the connection open after the response. */
-    static boolean allowsReuseAfter(HttpResponse head) {
+    public static boolean allowsReuseAfter(HttpResponse head) {
         return HttpVersion.HTTP_1_1.equals(head.getVersion())
                 && Arrays.stream(head.getHeaders(HttpHeaders.CONNECTION))
                         .map(header -> header.getValue().toLowerCase(Locale.ROOT))
--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.transport;
 
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.ParseException;
@@ -11,20 +12,26 @@
  * Parses the lines of a response head and rejects a second status line inside one of them.
  *
  * <p>If a peer breaks off a response inside a line of its head, the status line of its next
- * response continues that line. Confined to the I/O thread.
+ * response continues that line. Immutable; safe for use by any thread if the listener is.
  */
-final class ResponseLineParser extends LazyLaxLineParser {
+public final class ResponseLineParser extends LazyLaxLineParser {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
     private static final Pattern HEADER_NAME =
             Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+[ \t]*:");
-    private final ResponseBoundary mBoundary;
+    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
+    private final Consumer<String> mMergedHeadsListener;
 
-    private ResponseLineParser(ResponseBoundary boundary) {
-        mBoundary = boundary;
+    private ResponseLineParser(Consumer<String> mergedHeadsListener) {
+        mMergedHeadsListener = mergedHeadsListener;
     }
 
-    static ResponseLineParser create(ResponseBoundary boundary) {
-        return new ResponseLineParser(boundary);
+    /**
+     * Returns a parser.
+     *
+     * @param mergedHeadsListener receives the start of each line that contains a second status line
+     */
+    public static ResponseLineParser create(Consumer<String> mergedHeadsListener) {
+        return new ResponseLineParser(mergedHeadsListener);
     }
 
     @Override
@@ -45,7 +52,9 @@
 
     private void requireNoStatusLine(CharArrayBuffer line, int start) throws ParseException {
         if (line.length() > start && STATUS_LINE.matcher(line).find(start)) {
-            throw new ParseException(mBoundary.reportMergedHeads(line.toString()));
+            String quoted = line.substring(0, Math.min(line.length(), MAXIMUM_QUOTED_CHARACTERS));
+            mMergedHeadsListener.accept(quoted);
+            throw new ParseException("two heads are merged: " + quoted);
         }
     }
 }
--- a/src/main/java/org/vanilladoor/transport/ResponseParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseParser.java
@@ -27,7 +27,7 @@
         return new ResponseParser(
                 new DefaultHttpResponseParser<>(
                         config,
-                        ResponseLineParser.create(boundary),
+                        ResponseLineParser.create(boundary::reportMergedHeads),
                         DefaultHttpResponseFactory.INSTANCE),
                 boundary);
     }
--- /dev/null
+++ b/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
@@ -0,0 +1,194 @@
+package org.vanilladoor.http;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Semaphore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.ThreadPools;
+
+/** Servers that send bytes that belong to no response on a connection that is kept. */
+@Timeout(60)
+class StrayResponseBytesTests {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final String EARLIER = "HTTP/1.1 200 OK\r\nX-Earlier: 1\r\nX-Cut: in the midd";
+    private static final String FAILURE =
+            "HTTP/1.1 500 Failed\r\nX-Request-Id: second\r\nContent-Length: 4\r\n\r\nfail";
+    private final HttpConnectionPool mConnectionPool = HttpConnectionPool.create(TIMEOUT);
+
+    @AfterEach
+    void close() {
+        mConnectionPool.close();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Arrival.class)
+    void noRemainderOfASuccessTurnsALaterFailureIntoASuccess(Arrival arrival) throws IOException {
+        for (int length = 1; length <= EARLIER.length(); length++) {
+            String result = resultAfter(arrival, EARLIER.substring(0, length));
+            assertWithMessage("%s of %s bytes", arrival, length)
+                    .that(result)
+                    .isIn(arrival.possibleResults());
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Arrival.class,
+            names = {"WITH_THE_RESPONSE", "WHILE_IDLE"})
+    void aWholeResponseToNoRequestIsNotTakenForTheNextResponse(Arrival arrival) throws IOException {
+        for (String stray : List.of("\r\n", EARLIER + "\r\nContent-Length: 5\r\n\r\nstray")) {
+            assertWithMessage(stray).that(resultAfter(arrival, stray)).isEqualTo("500 fail");
+        }
+    }
+
+    @Test
+    void aSuccessWhoseBodyHasTwoLengthsIsNotReturned() throws IOException {
+        String twoLengths =
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nwhole";
+        try (ScriptedServer server = new ScriptedServer(twoLengths, "", FAILURE)) {
+            assertWithMessage("two lengths").that(get(server)).isEqualTo("failure");
+        }
+    }
+
+    @Test
+    void aConnectionIsNotReusedAfterTheServerSaysThatItClosesIt() throws IOException {
+        String last = "HTTP/1.1 200 OK\r\nConnection: x, close\r\nContent-Length: 4\r\n\r\ndone";
+        try (ScriptedServer server = new ScriptedServer(last, "", FAILURE)) {
+            get(server);
+            get(server);
+            assertWithMessage("connections").that(server.mConnections).isEqualTo(2);
+        }
+    }
+
+    private String resultAfter(Arrival arrival, String stray) throws IOException {
+        String first = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+        ScriptedServer server =
+                switch (arrival) {
+                    case WITH_THE_RESPONSE -> new ScriptedServer(first + stray, "", FAILURE);
+                    case WHILE_IDLE -> new ScriptedServer(first, stray, FAILURE);
+                    case AFTER_THE_NEXT_REQUEST -> new ScriptedServer(first, "", stray + FAILURE);
+                };
+        try (server) {
+            get(server);
+            server.mFirstServed.acquireUninterruptibly();
+            return get(server);
+        }
+    }
+
+    private String get(ScriptedServer server) {
+        try (HttpClientResponse response =
+                mConnectionPool.send(server.address(), HttpClientRequest.get("/"), TIMEOUT)) {
+            String body = new String(response.readAll(1_000), StandardCharsets.UTF_8);
+            return response.status() + " " + body;
+        } catch (IOException e) {
+            return "failure";
+        }
+    }
+
+    /** When the bytes arrive at the client. */
+    private enum Arrival {
+        WITH_THE_RESPONSE,
+        WHILE_IDLE,
+        AFTER_THE_NEXT_REQUEST;
+
+        List<String> possibleResults() {
+            // Once the request was sent, its response can't be told from the rest of another.
+            return this == AFTER_THE_NEXT_REQUEST
+                    ? List.of("failure", "500 fail")
+                    : List.of("500 fail");
+        }
+    }
+
+    /** Sends one response to the first request, and another to each later one. */
+    private static final class ScriptedServer implements AutoCloseable {
+        private static final ExecutorService THREADS =
+                ThreadPools.newDaemonThreadPool("scripted-server");
+        private static final long STRAY_PAUSE_MILLIS = 5;
+        private final ServerSocket mServer =
+                new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        private final Semaphore mFirstServed = new Semaphore(0);
+        private final String mFirst;
+        private final String mStray;
+        private final String mSecond;
+        private volatile int mConnections;
+
+        ScriptedServer(String first, String stray, String second) throws IOException {
+            mFirst = first;
+            mStray = stray;
+            mSecond = second;
+            THREADS.execute(this::accept);
+        }
+
+        HostPort address() {
+            return new HostPort("127.0.0.1", mServer.getLocalPort());
+        }
+
+        @Override
+        public void close() throws IOException {
+            mServer.close();
+        }
+
+        private void accept() {
+            while (!mServer.isClosed()) {
+                try {
+                    Socket socket = mServer.accept();
+                    boolean isFirst = mConnections == 0;
+                    mConnections++;
+                    THREADS.execute(() -> serve(socket, isFirst));
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        }
+
+        private void serve(Socket socket, boolean isFirstConnection) {
+            try (socket) {
+                boolean isFirst = isFirstConnection;
+                while (readHead(socket.getInputStream())) {
+                    send(socket, isFirst ? mFirst : mSecond);
+                    if (isFirst) {
+                        Thread.sleep(STRAY_PAUSE_MILLIS);
+                        send(socket, mStray);
+                        mFirstServed.release();
+                    }
+                    isFirst = false;
+                }
+            } catch (IOException e) {
+                // The client closed the connection.
+                return;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        private static void send(Socket socket, String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        private static boolean readHead(InputStream input) throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = input.read();
+                if (next < 0) {
+                    return false;
+                }
+                head.append((char) next);
+            }
+            return true;
+        }
+    }
+}
