Fail a call whose response head is cut off

A caller of HttpConnectionPool got a success with an empty body where the server had closed the connection inside the head, from the 12th byte on ("HTTP/1.1 200").

Cause: HttpCore takes the end of the connection for the end of a head. The parser of a connection now reads from a stream that fails at its end; a head that is complete never gets that far.

--- a/src/main/java/org/vanilladoor/http/PooledConnection.java
+++ b/src/main/java/org/vanilladoor/http/PooledConnection.java
@@ -1,9 +1,11 @@
 package org.vanilladoor.http;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
@@ -58,7 +60,7 @@
         public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream input)
                 throws IOException, HttpException {
             mBuffer = buffer;
-            ClassicHttpResponse head = mParser.parse(buffer, input);
+            ClassicHttpResponse head = mParser.parse(buffer, new EndlessInput(input));
             if (head != null) {
                 ResponseFraming.requireUnambiguous(head);
             }
@@ -69,4 +71,28 @@
             return mBuffer != null && mBuffer.length() > 0;
         }
     }
+
+    /** Fails at the end of the connection, which HttpCore takes for the end of a head. */
+    private static final class EndlessInput extends FilterInputStream {
+        EndlessInput(InputStream input) {
+            super(input);
+        }
+
+        @Override
+        public int read() throws IOException {
+            return requireInput(super.read());
+        }
+
+        @Override
+        public int read(byte[] buffer, int offset, int length) throws IOException {
+            return requireInput(super.read(buffer, offset, length));
+        }
+
+        private static int requireInput(int result) throws ConnectionClosedException {
+            if (result < 0) {
+                throw new ConnectionClosedException("the connection was closed inside a head");
+            }
+            return result;
+        }
+    }
 }
--- a/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
+++ b/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
@@ -74,6 +74,17 @@
         }
     }
 
+    @Test
+    void aHeadThatIsCutOffIsNotAResponse() throws IOException {
+        String whole = "HTTP/1.1 200 OK\r\nX-First: 1\r\nContent-Length: 0\r\nX-Last: 2\r\n\r\n";
+        for (int length = 0; length < whole.length(); length++) {
+            try (ScriptedServer server = new ScriptedServer(whole.substring(0, length), "", "")) {
+                server.mClosesAfterFirst = true;
+                assertWithMessage("%s bytes", length).that(get(server)).isEqualTo("failure");
+            }
+        }
+    }
+
     private String resultAfter(Arrival arrival, String stray) throws IOException {
         String first = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
         ScriptedServer server =
@@ -125,6 +136,7 @@
         private final String mStray;
         private final String mSecond;
         private volatile int mConnections;
+        private volatile boolean mClosesAfterFirst;
 
         ScriptedServer(String first, String stray, String second) throws IOException {
             mFirst = first;
@@ -160,6 +172,9 @@
                 boolean isFirst = isFirstConnection;
                 while (readHead(socket.getInputStream())) {
                     send(socket, isFirst ? mFirst : mSecond);
+                    if (mClosesAfterFirst) {
+                        return;
+                    }
                     if (isFirst) {
                         Thread.sleep(STRAY_PAUSE_MILLIS);
                         send(socket, mStray);
