--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/AmbiguousHeadTests.java
@@ -0,0 +1,67 @@
+package org.vanilladoor.platform;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vanilladoor.platform.ScriptedEndpoint.Answer;
+import org.vanilladoor.platform.ScriptedEndpoint.End;
+import org.vanilladoor.platform.ScriptedEndpoint.Received;
+
+/** Response heads that are not one whole head of the request's own response. */
+@Timeout(120)
+class AmbiguousHeadTests extends GatewayFixture {
+    private static final String REST = "Content-Length: 0\r\nX-First: 1\r\nX-Last: 2\r\n\r\n";
+
+    @ParameterizedTest
+    @ValueSource(ints = {200, 204, 304})
+    void aHeadThatIsCutOffIsNotForwarded(int status) throws IOException {
+        String whole = ScriptedEndpoint.head(new Received("", ""), status) + REST;
+        for (int missing = 1; missing < whole.length(); missing++) {
+            assertCutOffHeadIsNotForwarded(status, missing);
+        }
+    }
+
+    @Test
+    void aHeadWithTwoIdentifiersIsNotForwarded() throws IOException {
+        endpoint(
+                "e",
+                received ->
+                        ScriptedEndpoint.response(
+                                received, 200, "Vanilladoor-Attempt-Id: other\r\n", "done"));
+        assertWithMessage("two identifiers")
+                .that(call("POST", "/once/x", "body"))
+                .startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void aHeadWithTwoSignaturesIsNotForwarded() throws IOException {
+        endpoint(
+                "e",
+                received ->
+                        ScriptedEndpoint.response(
+                                received, 200, "Vanilladoor-Stamp: other\r\n", "done"));
+        assertWithMessage("two signatures")
+                .that(call("POST", "/once/x", "body"))
+                .startsWith("HTTP/1.1 502");
+    }
+
+    private void assertCutOffHeadIsNotForwarded(int status, int missing) throws IOException {
+        ScriptedEndpoint endpoint =
+                endpoint(
+                        "e",
+                        received -> {
+                            String head = ScriptedEndpoint.head(received, status) + REST;
+                            return new Answer(
+                                    head.substring(0, Math.max(0, head.length() - missing)),
+                                    End.CLOSE);
+                        });
+        assertWithMessage("status %s, %s bytes missing", status, missing)
+                .that(call("POST", "/once/x", "body"))
+                .startsWith("HTTP/1.1 502");
+        endpoint.close();
+    }
+}
