--- a/src/test/java/org/vanilladoor/transport/EarlyResponseTests.java
+++ b/src/test/java/org/vanilladoor/transport/EarlyResponseTests.java
@@ -67,7 +67,14 @@
         request.addHeader("Host", "h");
         HostPort address = new HostPort("127.0.0.1", mPeer.getLocalPort());
         mControl.execute(
-                () -> mConnections.send(address, 1_000, request, body, new Listener(result)));
+                () ->
+                        mConnections.send(
+                                address,
+                                ConnectionUse.ANY,
+                                1_000,
+                                request,
+                                body,
+                                new Listener(result)));
         return result;
     }
 
