Fail a call whose response head is cut off by the end of its connection

HttpCore takes the end of the connection for the end of a head; only heads without a length were caught.

The parser of a connection is no longer told of that end, and fails if a response is due.

--- a/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
@@ -130,7 +130,7 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        // HttpCore takes a head that is cut off for a complete one, whose body is empty.
+        // An empty body that only the end of the connection delimits may as well be missing.
         if (mEndsWithConnection && !mHasBody) {
             failed(new ConnectionClosedException("the connection was closed after the head"));
             return;
--- a/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
@@ -53,6 +53,10 @@
         }
     }
 
+    boolean isResponseDue() {
+        return mResponseDue;
+    }
+
     /**
      * Checks that bytes which have arrived may begin a response.
      *
--- a/src/main/java/org/vanilladoor/transport/ResponseParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseParser.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.transport;
 
 import java.io.IOException;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -43,10 +44,14 @@
         if (buffer.hasData()) {
             mBoundary.requireResponseDue();
         }
-        HttpResponse head = mParser.parse(buffer, endOfStream);
+        // HttpCore would take the end of the connection for the end of a head.
+        HttpResponse head = mParser.parse(buffer, false);
         if (head != null) {
             ResponseFraming.requireUnambiguous(head);
             mBoundary.onHeadParsed(head);
+        } else if (endOfStream && mBoundary.isResponseDue()) {
+            throw new ConnectionClosedException(
+                    "the connection was closed before or inside a head");
         }
         return head;
     }
