--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -10,7 +10,7 @@
  *
  * <p>Invariants: the request is sent at most once, over one connection; a kept connection that
  * turns out to be unusable before anything was sent is replaced by a new one. The connection is
- * reused only after a complete response. Confined to the control thread.
+ * reused only after a complete request and a complete response. Confined to the control thread.
  */
 public final class OutgoingCall implements ConnectionPool.ConnectListener {
     private final ControlLoop mControl;
@@ -78,14 +78,10 @@
         fail(reachability == ConnectionPool.Reachability.REFUSED, reason);
     }
 
-    void onHead(OutgoingExchange exchange, HttpResponse response, boolean isComplete) {
-        if (isOver(exchange)) {
-            return;
-        }
-        mKeepConnection &= ResponseFraming.allowsReuseAfter(response);
-        mListener.onHead(response);
-        if (isComplete) {
-            onEnd(exchange);
+    void onHead(OutgoingExchange exchange, HttpResponse response) {
+        if (!isOver(exchange)) {
+            mKeepConnection &= ResponseFraming.allowsReuseAfter(response);
+            mListener.onHead(response);
         }
     }
 
@@ -95,12 +91,12 @@
         }
     }
 
-    void onEnd(OutgoingExchange exchange) {
+    void onEnd(OutgoingExchange exchange, boolean isRequestComplete) {
         if (isOver(exchange)) {
             return;
         }
         mDone = true;
-        if (mKeepConnection) {
+        if (mKeepConnection && isRequestComplete) {
             mPool.release(mConnection);
         } else {
             discardConnection();
--- a/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
@@ -34,6 +34,9 @@
     private boolean mSent;
     private boolean mMayNotBeSent;
 
+    /** Whether the whole request was handed to the connection; used on HttpCore's thread only. */
+    private boolean mRequestComplete;
+
     /** Whether the response has neither a length nor chunks; used on HttpCore's thread only. */
     private boolean mEndsWithConnection;
 
@@ -86,6 +89,7 @@
             mSent = true;
         }
         boolean empty = !mBody.hasRemaining();
+        mRequestComplete = empty;
         channel.sendRequest(
                 mRequest, empty ? null : new BasicEntityDetails(mBody.remaining(), null), context);
     }
@@ -100,6 +104,7 @@
         channel.write(mBody);
         if (!mBody.hasRemaining()) {
             channel.endStream();
+            mRequestComplete = true;
         }
     }
 
@@ -112,7 +117,10 @@
     public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
         boolean isComplete = entity == null;
         mEndsWithConnection = ResponseFraming.endsWithConnection(response);
-        mControl.execute(() -> mCall.onHead(this, response, isComplete));
+        mControl.execute(() -> mCall.onHead(this, response));
+        if (isComplete) {
+            end();
+        }
     }
 
     @Override
@@ -135,7 +143,13 @@
             failed(new ConnectionClosedException("the connection was closed after the head"));
             return;
         }
-        mControl.execute(() -> mCall.onEnd(this));
+        end();
+    }
+
+    /** Reports the end of the response; the peer may not have read the whole request yet. */
+    private void end() {
+        boolean isRequestComplete = mRequestComplete;
+        mControl.execute(() -> mCall.onEnd(this, isRequestComplete));
     }
 
     @Override
