Reject entries of endpoints that name no usable address or header value

Callers saw: an entry of another writer with a host name as its address was taken for an endpoint. Resolving such a name blocks the control thread, for all requests of the VM. Port 0, no or negative slots, and fields of another type were accepted as well, and a name with a line break would have been written into the header that names the expected endpoint.

Cause: the decoder checked that fields convert to a type, not that their values can be used. An odd announcement in the status also discarded an entry whose own fields were sound.

Ruled out: ports above 65535 and numbers out of an int's range, which were rejected before.

Why it works: every field that is used later is checked for its type and range where it is decoded, and only numeric addresses are accepted, so that nothing is resolved.

--- a/src/main/java/org/vanilladoor/platform/EndpointDecoder.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointDecoder.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.hc.core5.net.InetAddressUtils;
+import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.engine.EngineRole;
@@ -16,6 +18,8 @@
     private static final String ROLE_FIELD = "role";
     private static final String CHANGING_FIELD = "changing";
     private static final String START_FIELD = "born";
+    private static final char SPACE = ' ';
+    private static final char DELETE_CHARACTER = 127;
 
     private EndpointDecoder() {}
 
@@ -43,33 +47,74 @@
      * @throws IllegalArgumentException if a field is missing or invalid
      */
     static Endpoint decode(String name, JsonNode spec, JsonNode announcement) {
-        String state = spec.path("state").asText();
-        if (!state.equals("ready") && !state.equals("draining")) {
-            throw new IllegalArgumentException("unknown state: " + state);
-        }
+        require(isHeaderValue(name), "name");
         require(spec.path("service").isTextual(), "service");
-        require(spec.path("addr").isTextual(), "addr");
+        require(!spec.path("service").asText().isEmpty(), "service");
         require(spec.path("zone").isTextual(), "zone");
+        require(spec.path("addr").isTextual(), "addr");
+        require(spec.path("slots").isIntegralNumber(), "slots");
         require(spec.path("slots").canConvertToInt(), "slots");
+        require(spec.path("slots").asInt() > 0, "slots");
+        JsonNode start = spec.path(START_FIELD);
+        require(
+                start.isMissingNode() || start.isIntegralNumber() && start.canConvertToLong(),
+                START_FIELD);
+        EngineRole ownRole = decodeRole(spec.path("phase"));
+        boolean isLeaving = decodeLeaving(spec.path("state"));
         // An announcement made before the endpoint restarted does not apply any more.
         boolean isAnnouncementCurrent =
                 announcement.isObject()
-                        && announcement.path(START_FIELD).asLong()
-                                == spec.path(START_FIELD).asLong();
+                        && announcement.path(START_FIELD).asLong() == start.asLong();
         return new Endpoint(
                 name,
                 spec.path("service").asText(),
-                HostPort.parse(spec.path("addr").asText()),
+                decodeAddress(spec.path("addr").asText()),
                 spec.path("zone").asText(),
                 spec.path("slots").asInt(),
-                state.equals("draining"),
+                isLeaving,
                 isAnnouncementCurrent
-                        ? decodeRole(announcement.path(ROLE_FIELD))
-                        : decodeRole(spec.path("phase")),
+                        ? decodeAnnouncedRole(announcement.path(ROLE_FIELD), ownRole)
+                        : ownRole,
                 isAnnouncementCurrent && announcement.path(CHANGING_FIELD).asBoolean(false),
                 spec.path("spot").asBoolean(false),
                 // Wall time at which the process started, not at which its entry was created.
-                spec.path(START_FIELD).asLong());
+                start.asLong());
+    }
+
+    private static boolean decodeLeaving(JsonNode state) {
+        boolean isLeaving = state.isTextual() && state.asText().equals("draining");
+        boolean isReady = state.isTextual() && state.asText().equals("ready");
+        if (!isLeaving && !isReady) {
+            throw new IllegalArgumentException("unknown state: " + state);
+        }
+        return isLeaving;
+    }
+
+    /** Decodes an address; a host name is refused, since resolving it would block the thread. */
+    private static HostPort decodeAddress(String text) {
+        HostPort address = HostPort.parse(text);
+        boolean isNumeric =
+                InetAddressUtils.isIPv4Address(address.host())
+                        || InetAddressUtils.isIPv6Address(address.host());
+        if (!isNumeric || address.port() == 0) {
+            throw new IllegalArgumentException("address is not an IP address and port: " + text);
+        }
+        return address;
+    }
+
+    private static EngineRole decodeAnnouncedRole(JsonNode announced, EngineRole ownRole) {
+        try {
+            return decodeRole(announced);
+        } catch (IllegalArgumentException e) {
+            EventLog.write("endpoints", "announcement.unreadable", "reason", e.getMessage());
+            return ownRole;
+        }
+    }
+
+    /** Returns whether a name can be sent in a header as it is. */
+    private static boolean isHeaderValue(String name) {
+        return !name.isEmpty()
+                && name.chars().allMatch(each -> each > SPACE && each < DELETE_CHARACTER);
     }
 
     /**
@@ -79,7 +124,10 @@
      * @throws IllegalArgumentException if the name is unknown
      */
     static EngineRole decodeRole(JsonNode phase) {
-        return switch (phase.asText()) {
+        if (!phase.isMissingNode() && !phase.isNull() && !phase.isTextual()) {
+            throw new IllegalArgumentException("unknown role: " + phase);
+        }
+        return switch (phase.asText("")) {
             case "" -> EngineRole.MIXED;
             case "prefill" -> EngineRole.PREFILL;
             case "decode" -> EngineRole.DECODE;
--- a/src/test/java/org/vanilladoor/platform/DecoderTests.java
+++ b/src/test/java/org/vanilladoor/platform/DecoderTests.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
@@ -107,6 +109,60 @@
                 () -> EndpointDecoder.decode("i", json(content), json("null")));
     }
 
+    /** An address that is a host name is resolved on the thread that everything else waits for. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"addr\":\"localhost:80\"",
+                "\"addr\":\"example.com:80\"",
+                "\"addr\":\"127.0.0.1\"",
+                "\"addr\":\"127.0.0.1:0\"",
+                "\"addr\":\"127.0.0.1:-1\"",
+                "\"addr\":\"127.0.0.1:65536\"",
+                "\"addr\":\"127.0.0.1:99999999999999999999\"",
+                "\"addr\":\"127.0.0.1:8080 \"",
+                "\"addr\":\"127.0.0.999:8080\"",
+                "\"slots\":0",
+                "\"slots\":-1",
+                "\"slots\":1e9999",
+                "\"slots\":2147483648",
+                "\"slots\":1.5",
+                "\"born\":1e9999",
+                "\"born\":99999999999999999999",
+                "\"born\":\"5\"",
+                "\"phase\":7",
+                "\"phase\":{}",
+                "\"state\":true",
+                "\"service\":\"\"",
+                "\"zone\":null"
+            })
+    void anEntryWithAFieldThatNamesNoEndpointIsRejected(String field) {
+        ObjectNode spec = (ObjectNode) entry("ready", "prefill");
+        spec.setAll((ObjectNode) json("{" + field + "}"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> EndpointDecoder.decode("i", spec, json("null")));
+    }
+
+    /** The name is sent to the endpoint in a header. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "a b", "a\r\nX: y", "\u00e9", "\u0000"})
+    void anEntryWhoseNameFitsInNoHeaderIsRejected(String name) {
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> EndpointDecoder.decode(name, entry("ready", "decode"), json("null")));
+    }
+
+    @Test
+    void anOddAnnouncementLeavesTheRoleOfTheEntryInForce() {
+        for (String announcement :
+                List.of("7", "{\"born\":5,\"role\":7}", "{\"born\":5,\"role\":\"odd\"}")) {
+            Endpoint endpoint =
+                    EndpointDecoder.decode("i", entry("ready", "prefill"), json(announcement));
+            assertThat(endpoint.role()).isEqualTo(EngineRole.PREFILL);
+        }
+    }
+
     @Test
     void settingsAreParsedAndUnknownKeysIgnored() {
         PlatformSettings settings =
