Decode the entries of a list in the store one by one

Callers saw: one entry nested deeply, with a number of very many digits or a very long field name, and a VM no longer followed the list of endpoints or the configuration at all. A VM started afterwards became ready and served nothing.

Cause: a response of the store was decoded as a whole, so that whatever the JSON library refuses in one entry (depth, length of a number or name, bytes that are no UTF-8, syntax) discarded the page. The body then counted as missing, and a missing body as an empty listing at revision 0. The same held for the events of a watch and for the kinds of the system itself. Related faults of the same class: the name after which the next page begins was put into the query as it is, so that some names ended or broke the listing; a page could end with an entry whose name can't be read; a response over the limit failed the same watch again and again; an exception of a listener repeated the listing forever.

Ruled out: StackOverflowError, since the nesting that is decoded is limited to 64 levels and splitting doesn't recurse; larger limits, since another entry can always exceed them.

Why it works: a response is split into entries while it arrives, by strings and brackets only, so nothing in an entry affects its neighbours; memory is bounded by what is kept of each. An entry that can't be decoded as a whole keeps the fields that can, so its name and revision are known and it is logged once per version. A response without a revision is a failure, not an empty list, and a watch whose response can't be read is replaced by a listing.

--- a/src/main/java/org/vanilladoor/common/Json.java
+++ b/src/main/java/org/vanilladoor/common/Json.java
@@ -52,11 +52,12 @@
     /**
      * Deserializes a value of the given type from JSON in UTF-8.
      *
-     * @throws UncheckedIOException if the bytes are not valid JSON for that type
+     * @throws UncheckedIOException if the bytes are not valid JSON for that type, or are {@code
+     *     null}
      */
     public static <T> T read(byte[] json, Class<T> type) {
         try {
-            return MAPPER.readValue(json, type);
+            return requireValue(MAPPER.readValue(json, type));
         } catch (IOException e) {
             throw new UncheckedIOException("not valid JSON for " + type.getSimpleName(), e);
         }
@@ -65,11 +66,12 @@
     /**
      * Deserializes a value of the given generic type from JSON in UTF-8.
      *
-     * @throws UncheckedIOException if the bytes are not valid JSON for that type
+     * @throws UncheckedIOException if the bytes are not valid JSON for that type, or are {@code
+     *     null}
      */
     public static <T> T read(byte[] json, TypeReference<T> type) {
         try {
-            return MAPPER.readValue(json, type);
+            return requireValue(MAPPER.readValue(json, type));
         } catch (IOException e) {
             throw new UncheckedIOException("not valid JSON for " + type.getType(), e);
         }
@@ -88,6 +90,13 @@
         }
     }
 
+    private static <T> T requireValue(T value) throws IOException {
+        if (value == null) {
+            throw new IOException("the value is null");
+        }
+        return value;
+    }
+
     /** Returns a new empty JSON object. */
     public static ObjectNode newObject() {
         return MAPPER.createObjectNode();
--- a/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
+++ b/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
@@ -51,7 +51,7 @@
                     configuration.version(),
                     "revision",
                     object.path("meta").path("rev").asLong());
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
             mLatestDecodable = false;
             EventLog.write("configuration", "version.unreadable", "reason", e.getMessage());
         }
--- a/src/main/java/org/vanilladoor/platform/EndpointFeed.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointFeed.java
@@ -139,7 +139,7 @@
         try {
             return Optional.of(
                     EndpointDecoder.decode(name, object.path("spec"), object.path("status")));
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
             EventLog.write("endpoints", "unreadable", "entry", name, "reason", e.getMessage());
             return Optional.empty();
         }
--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -2,19 +2,25 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.UnaryOperator;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.StoredObjectLister;
+import org.vanilladoor.provider.UnreadableObjects;
 import org.vanilladoor.provider.VersionConflictException;
 
 /**
@@ -29,6 +35,10 @@
  */
 final class ObjectClient implements ObjectStore, StoredObjectLister {
     private static final String PATH = "/api/objects/";
+    private static final String ITEMS_FIELD = "items";
+    private static final String EVENTS_FIELD = "events";
+    private static final String REVISION_FIELD = "current_rev";
+    private static final Set<String> LIST_FIELDS = Set.of(ITEMS_FIELD, EVENTS_FIELD);
 
     /** Prefix of the kinds of our own objects. */
     private static final String KIND_PREFIX = "vanilladoor-";
@@ -38,6 +48,7 @@
 
     private final PlatformCalls mCalls;
     private final HostPort mAddress;
+    private final UnreadableObjects mUnreadableObjects = UnreadableObjects.create();
 
     private ObjectClient(PlatformCalls calls, HostPort address) {
         mCalls = calls;
@@ -56,7 +67,7 @@
                                 response.status() == HttpStatus.SC_NOT_FOUND
                                         ? Optional.empty()
                                         : Optional.of(
-                                                toStoredObject(name, response.requireSuccess())));
+                                                toStoredObject(name, requireObject(response))));
     }
 
     @Override
@@ -70,7 +81,7 @@
         if (!isNew) {
             meta.put("rev", expectedVersion);
         }
-        String path = isNew ? PATH + platformKind(name) : objectPath(name);
+        String path = isNew ? PATH + encode(platformKind(name)) : objectPath(name);
         return send(isNew ? "POST" : "PUT", path, Optional.of(body), RESPONSE_TIMEOUT_MILLIS)
                 .thenApply(
                         response -> {
@@ -119,7 +130,7 @@
     public CompletableFuture<List<StoredObject>> listKind(String anyName, boolean mayBeStale) {
         String kind = platformKind(anyName);
         String prefix = anyName.substring(0, anyName.indexOf('/') + 1);
-        return listPages(kind, mayBeStale ? "serializable=1" : "", "", new ArrayList<>())
+        return listPages(kind, mayBeStale ? "serializable=1" : "", Pages.none())
                 .thenApply(
                         listing ->
                                 listing.items().stream()
@@ -129,7 +140,7 @@
 
     /** Lists all objects of one of the platform's kinds. */
     CompletableFuture<Listing> listAll(String kind) {
-        return listPages(kind, "", "", new ArrayList<>());
+        return listPages(kind, "", Pages.none());
     }
 
     /**
@@ -139,17 +150,38 @@
      * @param waitMillis maximum time for which the store waits for a change before it responds
      */
     CompletableFuture<Changes> awaitChanges(String kind, long revision, long waitMillis) {
-        String path = PATH + kind + "?watch=" + revision + "&wait_ms=" + waitMillis;
+        String path = PATH + encode(kind) + "?watch=" + revision + "&wait_ms=" + waitMillis;
         return send("GET", path, Optional.empty(), waitMillis + RESPONSE_TIMEOUT_MILLIS)
                 .thenApply(
                         response -> {
                             if (response.status() == HttpStatus.SC_GONE) {
                                 return new Changes(true, List.of(), revision);
                             }
+                            long newRevision =
+                                    response.requireNumber(REVISION_FIELD)
+                                            .path(REVISION_FIELD)
+                                            .asLong();
                             List<JsonNode> events = new ArrayList<>();
-                            response.requireSuccess().path("events").forEach(events::add);
-                            return new Changes(false, events, currentRevision(response.body()));
-                        });
+                            for (StoreEntry entry : response.entries()) {
+                                logUnreadable(kind, entry, entry.content().path("object"));
+                                events.add(entry.content());
+                            }
+                            return new Changes(false, events, newRevision);
+                        })
+                .exceptionally(failure -> listAgainIfUnreadable(kind, revision, failure));
+    }
+
+    /** Lets the changes be skipped by a listing, since the same call would fail again. */
+    private static Changes listAgainIfUnreadable(String kind, long revision, Throwable failure) {
+        if (failure instanceof CompletionException wrapper
+                && wrapper.getCause() instanceof UnreadableResponseException unreadable) {
+            EventLog.write(
+                    "store", "changes.unreadable", "kind", kind, "reason", unreadable.getMessage());
+            return new Changes(true, List.of(), revision);
+        }
+        throw failure instanceof CompletionException wrapper
+                ? wrapper
+                : new CompletionException(failure);
     }
 
     /** Writes the status of one of the platform's objects, regardless of its version. */
@@ -157,7 +189,7 @@
         ObjectNode body = Json.newObject();
         body.putObject("meta").put("name", name);
         body.set("status", status);
-        String path = PATH + kind + "/" + name + "/status";
+        String path = PATH + encode(kind) + "/" + encode(name) + "/status";
         return send("PUT", path, Optional.of(body), RESPONSE_TIMEOUT_MILLIS)
                 .thenAccept(PlatformCalls.Response::requireSuccess);
     }
@@ -169,11 +201,11 @@
      */
     CompletableFuture<Void> updateStatus(
             String kind, String name, UnaryOperator<ObjectNode> change) {
-        String path = PATH + kind + "/" + name;
+        String path = PATH + encode(kind) + "/" + encode(name);
         return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
                 .thenCompose(
                         response -> {
-                            JsonNode object = response.requireSuccess();
+                            JsonNode object = requireObject(response);
                             JsonNode status = object.path("status");
                             ObjectNode body = Json.newObject();
                             body.putObject("meta")
@@ -194,41 +226,91 @@
                 .thenAccept(PlatformCalls.Response::requireSuccess);
     }
 
-    /** Returns the name of an object in the platform's format. */
+    /**
+     * Returns the name of an object in the platform's format, or an empty string if it has no name
+     * that can be read.
+     */
     static String nameOf(JsonNode object) {
-        return object.path("meta").path("name").asText();
+        JsonNode name = object.path("meta").path("name");
+        boolean isName = name.isTextual() && isUnicode(name.asText());
+        return isName ? name.asText() : "";
     }
 
-    private CompletableFuture<Listing> listPages(
-            String kind, String query, String after, List<JsonNode> found) {
-        String pageQuery = after.isEmpty() ? query : query + "&after=" + after;
-        String path = PATH + kind + (pageQuery.isEmpty() ? "" : "?" + pageQuery);
+    private static boolean isUnicode(String text) {
+        return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+    }
+
+    private CompletableFuture<Listing> listPages(String kind, String query, Pages pages) {
+        String after = pages.after();
+        String pageQuery =
+                after.isEmpty()
+                        ? query
+                        : query + (query.isEmpty() ? "" : "&") + "after=" + encode(after);
+        String path = PATH + encode(kind) + (pageQuery.isEmpty() ? "" : "?" + pageQuery);
         return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
                 .thenCompose(
                         response -> {
-                            JsonNode body = response.requireSuccess();
-                            body.path("items").forEach(found::add);
-                            boolean hasMore = body.path("has_more").asBoolean(false);
-                            return hasMore && !found.isEmpty()
-                                    ? listPages(
-                                            kind, query, nameOf(found.get(found.size() - 1)), found)
-                                    : CompletableFuture.completedFuture(
-                                            new Listing(found, currentRevision(body)));
+                            JsonNode body = response.requireNumber(REVISION_FIELD);
+                            for (StoreEntry entry : response.entries()) {
+                                logUnreadable(kind, entry, entry.content());
+                                pages.found().add(entry.content());
+                            }
+                            if (body.path("has_more").asBoolean(false)) {
+                                if (pages.advance()) {
+                                    return listPages(kind, query, pages);
+                                }
+                                EventLog.write("store", "listing.incomplete", "kind", kind);
+                            }
+                            return CompletableFuture.completedFuture(
+                                    new Listing(pages.found(), body.path(REVISION_FIELD).asLong()));
                         });
     }
 
+    private void logUnreadable(String kind, StoreEntry entry, JsonNode object) {
+        if (entry.failure().isEmpty()) {
+            return;
+        }
+        String name = nameOf(object);
+        long version = object.path("meta").path("rev").asLong();
+        if (mUnreadableObjects.add(kind + "/" + name, version)) {
+            EventLog.write(
+                    "store",
+                    "object.unreadable",
+                    "kind",
+                    kind,
+                    "name",
+                    name,
+                    "revision",
+                    version,
+                    "reason",
+                    entry.failure().get());
+        }
+    }
+
+    private static JsonNode requireObject(PlatformCalls.Response response) {
+        if (!response.requireSuccess().path("meta").isObject()) {
+            throw new UnreadableResponseException(
+                    response.description() + ": the response is not an object");
+        }
+        return response.body();
+    }
+
     private CompletableFuture<PlatformCalls.Response> send(
             String method, String path, Optional<Object> body, long timeoutMillis) {
-        return mCalls.send(mAddress, new BasicHttpRequest(method, path), body, timeoutMillis);
+        return mCalls.sendForEntries(
+                mAddress, new BasicHttpRequest(method, path), body, timeoutMillis, LIST_FIELDS);
     }
 
     private static StoredObject toStoredObject(String name, JsonNode object) {
-        return new StoredObject(
-                name, object.path("meta").path("rev").asLong(), Json.write(object.path("spec")));
+        JsonNode spec = object.path("spec");
+        // Without content, an object whose content can't be read stays present and unreadable.
+        byte[] content = spec.isMissingNode() ? new byte[0] : Json.write(spec);
+        return new StoredObject(name, object.path("meta").path("rev").asLong(), content);
     }
 
-    private static long currentRevision(JsonNode body) {
-        return body.path("current_rev").asLong();
+    /** Encodes a name for use as a part of a path or query. */
+    private static String encode(String name) {
+        return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
     private static String platformKind(String name) {
@@ -240,7 +322,38 @@
     }
 
     private static String objectPath(String name) {
-        return PATH + platformKind(name) + "/" + platformName(name);
+        return PATH + encode(platformKind(name)) + "/" + encode(platformName(name));
+    }
+
+    /**
+     * The pages of a listing that have been received. Confined to the control thread.
+     *
+     * @param found objects on the pages
+     * @param continuations names after which pages were requested
+     */
+    private record Pages(List<JsonNode> found, List<String> continuations) {
+        static Pages none() {
+            return new Pages(new ArrayList<>(), new ArrayList<>());
+        }
+
+        /** Returns the name after which the next page begins; empty for the first page. */
+        String after() {
+            return continuations.isEmpty() ? "" : continuations.get(continuations.size() - 1);
+        }
+
+        /**
+         * Continues after the last name that can be read; returns false if that would request a
+         * page again. Entries after that name are repeated on the next page.
+         */
+        boolean advance() {
+            for (int index = found.size() - 1; index >= 0; index--) {
+                String name = nameOf(found.get(index));
+                if (!name.isEmpty()) {
+                    return !continuations.contains(name) && continuations.add(name);
+                }
+            }
+            return false;
+        }
     }
 
     /**
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -5,7 +5,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpRequest;
@@ -33,9 +35,12 @@
 final class PlatformCalls {
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
-    /** Maximum size of a response; a page of objects has about 1 MB. */
+    /** Maximum size of what is kept of a response; a page of objects has about 1 MB. */
     private static final int MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+    /** Maximum size of an entry; the store's limit for an object is half of it. */
+    private static final int MAXIMUM_VALUE_BYTES = 2 * 1024 * 1024;
+
     /** Maximum number of characters of a response that a message contains. */
     private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
 
@@ -59,6 +64,31 @@
      */
     CompletableFuture<Response> send(
             HostPort address, HttpRequest request, Optional<Object> body, long timeoutMillis) {
+        return send(address, request, body, timeoutMillis, new WholeContent());
+    }
+
+    /**
+     * Sends a request whose response may contain content of other writers. What can't be decoded,
+     * or is too large, is left out of the response; the rest is not affected.
+     *
+     * @param listFields names of the fields of the response that are lists
+     * @see #send(HostPort, HttpRequest, Optional, long)
+     */
+    CompletableFuture<Response> sendForEntries(
+            HostPort address,
+            HttpRequest request,
+            Optional<Object> body,
+            long timeoutMillis,
+            Set<String> listFields) {
+        return send(address, request, body, timeoutMillis, new SplitContent(listFields));
+    }
+
+    private CompletableFuture<Response> send(
+            HostPort address,
+            HttpRequest request,
+            Optional<Object> body,
+            long timeoutMillis,
+            ResponseContent responseContent) {
         CompletableFuture<Response> result = new CompletableFuture<>();
         String description = request.getMethod() + " " + request.getRequestUri();
         if (!request.containsHeader(HttpHeaders.HOST)) {
@@ -68,7 +98,8 @@
         byte[] bodyBytes = body.map(Json::write).orElse(new byte[0]);
         mControl.execute(
                 () -> {
-                    ResponseCollector collector = new ResponseCollector(description, result);
+                    ResponseCollector collector =
+                            new ResponseCollector(description, responseContent, result);
                     OutgoingCall call =
                             mConnections.send(
                                     address, CONNECT_TIMEOUT_MILLIS, request, bodyBytes, collector);
@@ -94,8 +125,9 @@
      * @param status HTTP status
      * @param body decoded body; an empty object if the response had none, a missing node if it was
      *     not JSON
+     * @param entries entries of the lists that were asked for, in order; they are not in the body
      */
-    record Response(String description, int status, JsonNode body) {
+    record Response(String description, int status, JsonNode body, List<StoreEntry> entries) {
         /**
          * Returns the body of a successful response.
          *
@@ -111,18 +143,35 @@
             }
             return body;
         }
+
+        /**
+         * Returns the body of a successful response that has to contain a field with a whole
+         * number.
+         *
+         * @throws StoreUnavailableException if the status is 300 or above
+         * @throws UnreadableResponseException if the field is missing
+         */
+        JsonNode requireNumber(String field) {
+            if (!requireSuccess().path(field).canConvertToLong()) {
+                throw new UnreadableResponseException(
+                        description + ": the response has no number " + field);
+            }
+            return body;
+        }
     }
 
     /** Collects a response. Confined to the control thread. */
     private static final class ResponseCollector implements OutgoingListener {
         private final String mDescription;
         private final CompletableFuture<Response> mResult;
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private final ResponseContent mContent;
         private OutgoingCall mCall;
         private int mStatus;
 
-        ResponseCollector(String description, CompletableFuture<Response> result) {
+        ResponseCollector(
+                String description, ResponseContent content, CompletableFuture<Response> result) {
             mDescription = description;
+            mContent = content;
             mResult = result;
         }
 
@@ -136,8 +185,8 @@
 
         @Override
         public void onData(byte[] bytes) {
-            mBody.writeBytes(bytes);
-            if (mBody.size() > MAXIMUM_RESPONSE_BYTES) {
+            mContent.write(bytes);
+            if (mContent.size() > MAXIMUM_RESPONSE_BYTES) {
                 reject("the response is larger than " + MAXIMUM_RESPONSE_BYTES + " bytes");
             }
         }
@@ -145,12 +194,13 @@
         private void reject(String reason) {
             mCall.abandon();
             mResult.completeExceptionally(
-                    new StoreUnavailableException(mDescription + ": " + reason));
+                    new UnreadableResponseException(mDescription + ": " + reason));
         }
 
         @Override
         public void onComplete() {
-            mResult.complete(new Response(mDescription, mStatus, decodeBody()));
+            mResult.complete(
+                    new Response(mDescription, mStatus, mContent.decodeBody(), mContent.entries()));
         }
 
         @Override
@@ -158,8 +208,36 @@
             mResult.completeExceptionally(
                     new StoreUnavailableException(mDescription + ": " + failure.reason()));
         }
+    }
+
+    /** The content of a response while it arrives. Confined to the control thread. */
+    private interface ResponseContent {
+        void write(byte[] bytes);
+
+        /** Returns the memory that the content takes, in bytes. */
+        int size();
 
-        private JsonNode decodeBody() {
+        JsonNode decodeBody();
+
+        List<StoreEntry> entries();
+    }
+
+    /** Content that is decoded as a whole. */
+    private static final class WholeContent implements ResponseContent {
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+
+        @Override
+        public void write(byte[] bytes) {
+            mBody.writeBytes(bytes);
+        }
+
+        @Override
+        public int size() {
+            return mBody.size();
+        }
+
+        @Override
+        public JsonNode decodeBody() {
             if (mBody.size() == 0) {
                 return Json.newObject();
             }
@@ -170,5 +248,43 @@
                 return JsonNodeFactory.instance.missingNode();
             }
         }
+
+        @Override
+        public List<StoreEntry> entries() {
+            return List.of();
+        }
+    }
+
+    /** Content of which each field and entry is decoded by itself. */
+    private static final class SplitContent implements ResponseContent {
+        private final JsonSplitter mSplitter;
+        private boolean mIsEmpty = true;
+
+        SplitContent(Set<String> listFields) {
+            mSplitter = JsonSplitter.create(listFields, MAXIMUM_VALUE_BYTES);
+        }
+
+        @Override
+        public void write(byte[] bytes) {
+            mIsEmpty &= bytes.length == 0;
+            mSplitter.write(bytes);
+        }
+
+        @Override
+        public int size() {
+            return mSplitter.size();
+        }
+
+        @Override
+        public JsonNode decodeBody() {
+            return mIsEmpty || mSplitter.isComplete()
+                    ? StoreEntry.ofFields(mSplitter.fields()).content()
+                    : JsonNodeFactory.instance.missingNode();
+        }
+
+        @Override
+        public List<StoreEntry> entries() {
+            return mSplitter.entries().stream().map(StoreEntry::decode).toList();
+        }
     }
 }
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -103,7 +103,12 @@
 
     private void applyListing(ObjectClient.Listing listing) {
         markAvailable();
-        mListener.onListed(listing.items());
+        try {
+            mListener.onListed(listing.items());
+        } catch (RuntimeException e) {
+            // Listing again would fail again; later changes still have to arrive.
+            EventLog.write("store", "listing.skipped", "kind", mKind, "reason", e);
+        }
         mRevision = listing.revision();
         mListed = true;
         confirm(mRequestedMillis);
--- a/src/main/java/org/vanilladoor/provider/StoreUnavailableException.java
+++ b/src/main/java/org/vanilladoor/provider/StoreUnavailableException.java
@@ -6,7 +6,7 @@
  *
  * <p>Immutable and safe for use by any thread.
  */
-public final class StoreUnavailableException extends RuntimeException {
+public class StoreUnavailableException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     /** Creates an exception without a cause. */
