Take over the fleet's lease when its object can't be read

Operators saw: after another writer had changed the lease's object, no VM held the lease any more, so usage was not reported and orders were not sent. Each VM read the object ten times a second and logged an error each time.

Cause: a lease that can't be decoded was handled like a store that does not respond, which passes by itself. The object stays as it is.

LeaseCoreTests covers eight contents, among them terms out of range.

Ruled out: treating the object as absent, since terms would begin again at 1.

Why it works: an unreadable record stands for a lease of an unknown holder, which is taken over after the same time as that of a holder that is gone. Its term is the object's version: each term begins with a write, so no earlier term exceeds it. Leases with a payload, whose orders would be lost, are not taken over; their failure is logged once per version.

--- a/src/main/java/org/vanilladoor/leader/LeaderTasks.java
+++ b/src/main/java/org/vanilladoor/leader/LeaderTasks.java
@@ -58,7 +58,7 @@
                                 mUsageCounter, mLoadMeter, mWallClock),
                         new MemberReportExchange.ProcessIdentity(
                                 reportObject, vmName, incarnation));
-        LeaseCore core = LeaseCore.create(reportObject, LeaseTiming.standard());
+        LeaseCore core = LeaseCore.createWithoutPayload(reportObject, LeaseTiming.standard());
         mLease =
                 new StoredFleetLease(
                         vmName, core, LeaseDriver.start(control, mStore, LEASE_OBJECT, core));
--- a/src/main/java/org/vanilladoor/lease/LeaseCore.java
+++ b/src/main/java/org/vanilladoor/lease/LeaseCore.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.lease;
 
 import java.util.Optional;
+import java.util.function.Function;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoredObject;
@@ -19,6 +20,7 @@
 public final class LeaseCore {
     private final String mSelf;
     private final LeaseTiming mTiming;
+    private final Function<StoredObject, LeaseRecord> mDecoder;
     private LeaseRecord mKnown = LeaseRecord.none();
     private long mKnownVersion = ObjectStore.ABSENT;
     private long mKnownSinceMillis = Long.MIN_VALUE;
@@ -33,9 +35,11 @@
     private String mProposedPayload;
     private long mLastReadMillis = Long.MIN_VALUE;
 
-    private LeaseCore(String self, LeaseTiming timing) {
+    private LeaseCore(
+            String self, LeaseTiming timing, Function<StoredObject, LeaseRecord> decoder) {
         mSelf = self;
         mTiming = timing;
+        mDecoder = decoder;
     }
 
     /**
@@ -45,7 +49,19 @@
      * @param timing durations of the lease
      */
     public static LeaseCore create(String self, LeaseTiming timing) {
-        return new LeaseCore(self, timing);
+        return new LeaseCore(
+                self, timing, object -> Json.read(object.content(), LeaseRecord.class));
+    }
+
+    /**
+     * Returns the state machine for a lease without payload. If its object can't be read, it is
+     * taken over like the lease of a holder that is gone, under a term above all earlier ones.
+     *
+     * @param self incarnation of this process
+     * @param timing durations of the lease
+     */
+    public static LeaseCore createWithoutPayload(String self, LeaseTiming timing) {
+        return new LeaseCore(self, timing, LeaseRecord::decodeOrUnknown);
     }
 
     /** Sets whether this process acquires the lease when it can, or releases it. */
@@ -106,9 +122,7 @@
     /** Reports the result of a read step. */
     public void onRead(Optional<StoredObject> found, long nowMillis) {
         mStepOutstanding = false;
-        LeaseRecord record =
-                found.map(object -> Json.read(object.content(), LeaseRecord.class))
-                        .orElse(LeaseRecord.none());
+        LeaseRecord record = found.map(mDecoder).orElse(LeaseRecord.none());
         long version = found.map(StoredObject::version).orElse(ObjectStore.ABSENT);
         updateKnown(record, version, nowMillis);
         boolean ownWriteTookEffect =
@@ -155,6 +169,11 @@
         return mKnown.released() ? "" : mKnown.holder();
     }
 
+    /** Returns whether the lease's object can't be read. */
+    public boolean isUnreadable() {
+        return mKnown.isUnknown();
+    }
+
     /** Returns the committed payload as last read or written. */
     public String payload() {
         return mKnown.payload();
--- a/src/main/java/org/vanilladoor/lease/LeaseDriver.java
+++ b/src/main/java/org/vanilladoor/lease/LeaseDriver.java
@@ -12,6 +12,7 @@
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoredObject;
+import org.vanilladoor.provider.UnreadableObjects;
 
 /**
  * Carries out the steps of a {@link LeaseCore} against the object store.
@@ -33,7 +34,9 @@
     private final ObjectStore mStore;
     private final String mObject;
     private final LeaseCore mCore;
+    private final UnreadableObjects mUnreadableObjects = UnreadableObjects.create();
     private boolean mWasHeld;
+    private boolean mWasUnreadable;
     private long mLastClockDriftMillis = clockDriftMillis();
 
     private LeaseDriver(ControlLoop control, ObjectStore store, String object, LeaseCore core) {
@@ -89,7 +92,9 @@
             mCore.onRead(found, MonotonicClock.nowMillis());
             tick();
         } catch (RuntimeException e) {
-            LOG.error("lease: Object {} can't be read: {}.", mObject, e.getMessage());
+            if (mUnreadableObjects.add(mObject, found.map(StoredObject::version).orElse(0L))) {
+                LOG.error("lease: Object {} can't be read: {}.", mObject, e.getMessage());
+            }
             mCore.onReadFailed();
         }
     }
@@ -131,5 +136,9 @@
                     "lease", held ? "held" : "lost", "object", mObject, "term", mCore.term());
             mWasHeld = held;
         }
+        if (mCore.isUnreadable() && !mWasUnreadable) {
+            EventLog.write("lease", "unreadable", "object", mObject, "term", mCore.term());
+        }
+        mWasUnreadable = mCore.isUnreadable();
     }
 }
--- a/src/test/java/org/vanilladoor/lease/LeaseCoreTests.java
+++ b/src/test/java/org/vanilladoor/lease/LeaseCoreTests.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.provider.StoredObject;
 
@@ -38,6 +41,37 @@
         mObject = new StoredObject("lease", mVersion, Json.write(write.record()));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "null",
+                "[]",
+                "{\"holder\":null,\"payload\":\"\"}",
+                "{\"holder\":\"x\",\"payload\":\"\"}",
+                "{\"holder\":\"x\",\"term\":9223372036854775807,\"payload\":\"\"}",
+                "{\"holder\":\"x\",\"term\":-1,\"payload\":\"\"}",
+                "{\"holder\":\"x\",\"term\":1e300,\"payload\":\"\"}"
+            })
+    void aLeaseThatCannotBeReadIsTakenOverUnderAHigherTermOnceItsHolderMustBeGone(String content) {
+        LeaseCore holder = LeaseCore.createWithoutPayload("a", TIMING);
+        holder.setWanted(true);
+        commit(holder, write(holder, 1_000), 1_000);
+        mVersion++;
+        mObject = new StoredObject("lease", mVersion, content.getBytes(StandardCharsets.UTF_8));
+        LeaseCore candidate = LeaseCore.createWithoutPayload("b", TIMING);
+        candidate.setWanted(true);
+        candidate.nextStep(2_000);
+        candidate.onRead(Optional.of(mObject), 2_000);
+        assertThat(candidate.isUnreadable()).isTrue();
+        assertThat(candidate.nextStep(2_001)).isEqualTo(new LeaseStep.Wait());
+        LeaseStep.Write write = write(candidate, 6_500);
+        assertThat(write.record().term()).isGreaterThan(holder.term());
+        commit(candidate, write, 6_500);
+        assertThat(candidate.isHeld(6_501)).isTrue();
+        assertThat(holder.isHeld(6_501)).isFalse();
+    }
+
     @Test
     void validityIsCountedFromWhenTheRenewalWasSent() {
         LeaseCore core = core("a");
