Pass over a sealed usage window that can't be read

Operators saw: later usage windows were reported late or not at all, and the same failure was logged with each try.

Cause: the oldest window that is not reported is tried first and again until it is reported. One whose sealed counts can't be read never is, and held the later ones back until it was seven windows old. Counts of null were accepted.

Evidence: UsageReportTaskTests reads such windows with five contents and passes; it was written together with the change and not run without it.

Ruled out: sealing the window again, since the counts that can't be read may have been reported already.

Why it works: unreadable counts stay unreadable, so the window counts as done after one line in the log, and the next one follows.

--- a/src/main/java/org/vanilladoor/leader/UsageReportTask.java
+++ b/src/main/java/org/vanilladoor/leader/UsageReportTask.java
@@ -1,6 +1,8 @@
 package org.vanilladoor.leader;
 
 import com.fasterxml.jackson.core.type.TypeReference;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -104,6 +106,10 @@
                 .whenComplete(
                         (done, failure) -> {
                             mReportOpen = false;
+                            if (isUnreadable(failure)) {
+                                // It stays unreadable, and later windows wait for this one.
+                                mReported.add(window);
+                            }
                             if (failure != null) {
                                 EventLog.write(
                                         "usage",
@@ -132,7 +138,16 @@
     }
 
     private static Map<String, Long> decodeCounts(byte[] content) {
-        return new TreeMap<>(Json.read(content, new TypeReference<Map<String, Long>>() {}));
+        Map<String, Long> counts = Json.read(content, new TypeReference<Map<String, Long>>() {});
+        if (counts.containsValue(null)) {
+            throw new UncheckedIOException(new IOException("a count is null"));
+        }
+        return new TreeMap<>(counts);
+    }
+
+    private static boolean isUnreadable(Throwable failure) {
+        return failure instanceof CompletionException
+                && failure.getCause() instanceof UncheckedIOException;
     }
 
     private CompletableFuture<Void> report(
--- a/src/test/java/org/vanilladoor/leader/UsageReportTaskTests.java
+++ b/src/test/java/org/vanilladoor/leader/UsageReportTaskTests.java
@@ -2,11 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.provider.FakeObjectStore;
 import org.vanilladoor.provider.ObjectStore;
@@ -50,6 +53,21 @@
         assertThat(mReported).containsExactly("7 {team=4} 5");
     }
 
+    /** Its counts may have been reported, and later windows must not wait for it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "null", "7", "{\"team\":null}", "{\"team\":1e400}"})
+    void aSealedWindowThatCannotBeReadIsNotReportedAndNotTriedAgain(String content) {
+        mTable.write(
+                "usage/" + WINDOW, ObjectStore.ABSENT, content.getBytes(StandardCharsets.UTF_8));
+        UsageReportTask task = createTask();
+        reportCount(9, DUE_MILLIS);
+        task.tick(lease());
+        mStore.resolveAll();
+        task.tick(lease());
+        assertThat(mStore.hasPending()).isFalse();
+        assertThat(mReported).isEmpty();
+    }
+
     @Test
     void nothingIsReportedAfterTheLeaseWasLostWhileTheWindowWasSealed() {
         UsageReportTask task = createTask();
