Read the reports of the VMs and the roster among odd objects

Operators saw: an odd object of another writer among the reports of the VMs, among the crash reports or in place of the roster was logged again with each listing.

Cause: nothing remembered which versions had been logged. Counts could contain null, which fails only where they are summed, and the first object of the roster's kind was taken for the roster, whatever its name.

Evidence: OddEntryProcessTests starts a VM with -Xss256k -Xmx160m on a store with 26 sorts of odd entries of each kind (endpoints, configuration, lease, reports, roster, crash reports) between sound ones and adds more while it runs.

Why it works: records refuse null in their maps where they are decoded, the roster is found by its name, and each unreadable version is logged once.

--- a/src/main/java/org/vanilladoor/leader/MemberReport.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReport.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.leader;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 
@@ -23,7 +24,14 @@
     public MemberReport {
         Objects.requireNonNull(machine, "machine");
         Objects.requireNonNull(incarnation, "incarnation");
-        usage = usage == null ? Map.of() : Map.copyOf(usage);
+        usage = usage == null ? Map.of() : copyOf(usage);
         work = work == null ? Map.of() : Map.copyOf(work);
     }
+
+    /** Copies the maps of all windows; fails if one contains null. */
+    private static Map<Long, Map<String, Long>> copyOf(Map<Long, Map<String, Long>> usage) {
+        Map<Long, Map<String, Long>> copy = new HashMap<>();
+        usage.forEach((window, counts) -> copy.put(window, Map.copyOf(counts)));
+        return Map.copyOf(copy);
+    }
 }
--- a/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
@@ -14,6 +14,7 @@
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.StoredObjectLister;
+import org.vanilladoor.provider.UnreadableObjects;
 import org.vanilladoor.provider.VersionConflictException;
 import org.vanilladoor.provider.VersionedObjectWriter;
 
@@ -53,6 +54,7 @@
     private final UsageCounter mUsageCounter;
     private final ServiceLoadMeter mLoadMeter;
     private final StableWallClock mWallClock;
+    private final UnreadableObjects mUnreadableObjects = UnreadableObjects.create();
     private final Map<String, ServiceLoad> mSmoothedLoads = new HashMap<>();
     private long mReportWrittenMillis;
     private long mReadMillis;
@@ -170,14 +172,15 @@
                         });
     }
 
-    private static Optional<Roster> decodeRoster(List<StoredObject> found) {
-        if (found.isEmpty()) {
-            return Optional.empty();
-        }
+    private Optional<Roster> decodeRoster(List<StoredObject> found) {
+        Optional<StoredObject> object =
+                found.stream().filter(each -> each.name().equals(ROSTER_OBJECT)).findFirst();
         try {
-            return Optional.of(Json.read(found.get(0).content(), Roster.class));
+            return object.map(each -> Json.read(each.content(), Roster.class));
         } catch (UncheckedIOException e) {
-            EventLog.write("member", "roster.unreadable", "reason", e.getMessage());
+            if (mUnreadableObjects.add(ROSTER_OBJECT, object.get().version())) {
+                EventLog.write("member", "roster.unreadable", "reason", e.getMessage());
+            }
             return Optional.empty();
         }
     }
@@ -211,14 +214,16 @@
                         });
     }
 
-    private static List<MemberView.ListedReport> decodeReports(List<StoredObject> objects) {
+    private List<MemberView.ListedReport> decodeReports(List<StoredObject> objects) {
         List<MemberView.ListedReport> listed = new ArrayList<>();
         for (StoredObject object : objects) {
             try {
                 MemberReport report = Json.read(object.content(), MemberReport.class);
                 listed.add(new MemberView.ListedReport(object.name(), object.version(), report));
             } catch (UncheckedIOException e) {
-                EventLog.write("member", "report.unreadable", "object", object.name());
+                if (mUnreadableObjects.add(object.name(), object.version())) {
+                    EventLog.write("member", "report.unreadable", "object", object.name());
+                }
             }
         }
         return listed;
--- a/src/main/java/org/vanilladoor/leader/Roster.java
+++ b/src/main/java/org/vanilladoor/leader/Roster.java
@@ -14,6 +14,9 @@
  */
 public record Roster(long beat, int living, List<String> candidates) {
     public Roster {
+        if (living < 1) {
+            throw new IllegalArgumentException("living is not positive: " + living);
+        }
         candidates = candidates == null ? List.of() : List.copyOf(candidates);
     }
 }
--- a/src/main/java/org/vanilladoor/quarantine/CrashReportExchange.java
+++ b/src/main/java/org/vanilladoor/quarantine/CrashReportExchange.java
@@ -11,6 +11,7 @@
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoredObject;
 import org.vanilladoor.provider.StoredObjectLister;
+import org.vanilladoor.provider.UnreadableObjects;
 import org.vanilladoor.provider.VersionedObjectWriter;
 
 /**
@@ -39,6 +40,7 @@
     private final VersionedObjectWriter mWriter;
     private final Function<String, CompletableFuture<Void>> mMarker;
     private final String mObject;
+    private final UnreadableObjects mUnreadableObjects = UnreadableObjects.create();
     private long mPublishedRevision;
     private Optional<String> mEngineToMark = Optional.empty();
     private boolean mReadRequested = true;
@@ -147,7 +149,9 @@
             mQuarantine.merge(
                     Json.read(object.content(), CrashReport.class), MonotonicClock.nowMillis());
         } catch (UncheckedIOException e) {
-            EventLog.write("quarantine", "report.unreadable", "object", object.name());
+            if (mUnreadableObjects.add(object.name(), object.version())) {
+                EventLog.write("quarantine", "report.unreadable", "object", object.name());
+            }
         }
     }
 
--- a/src/test/java/org/vanilladoor/platform/RawObjectStore.java
+++ b/src/test/java/org/vanilladoor/platform/RawObjectStore.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
@@ -31,6 +32,7 @@
     private final Map<String, TreeMap<String, RawObject>> mObjectsByKind = new HashMap<>();
     private final List<RawChange> mChanges = new ArrayList<>();
     private final List<String> mListRequests = new ArrayList<>();
+    private final AtomicInteger mUsageReports = new AtomicInteger();
     private long mRevision = 10;
 
     private RawObjectStore(int pageSize) throws IOException {
@@ -58,6 +60,11 @@
         return mListRequests.stream().filter(each -> each.startsWith(PREFIX + kind)).toList();
     }
 
+    /** Returns the number of calls of the interface for usage reports. */
+    int usageReports() {
+        return mUsageReports.get();
+    }
+
     /** Puts an object whose {@code spec} has the given bytes. */
     void put(String kind, String name, byte[] spec) {
         putWithMeta(kind, name, Json.write(name), spec, utf8("null"));
@@ -103,6 +110,7 @@
     private void handle(HttpExchange exchange) throws IOException {
         byte[] body = exchange.readBody(MAXIMUM_BODY_BYTES);
         if (!exchange.path().startsWith(PREFIX)) {
+            mUsageReports.incrementAndGet();
             exchange.respondJson(200, utf8("{}"));
             return;
         }
