Free the socket of an attempt to connect that has timed out

Cause: cancelling HttpCore's future does not end the attempt, and its time limit was that of an open connection. It is the connect timeout now; the socket timeout is set once connected.

--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -251,16 +251,17 @@
                 ResponseBoundary.create(
                         (anomaly, detail) ->
                                 mControl.execute(() -> recordAnomaly(address, anomaly, detail)));
-        // HttpCore would apply a connect timeout as the socket timeout for the whole life of the
-        // connection, so the connect timeout is enforced below.
+        // HttpCore gives up an attempt up to a second late, but frees its socket and its place. It
+        // applies the connect timeout as the socket timeout, too, which is set again below.
         Future<AsyncClientEndpoint> future =
                 mRequester.connect(
                         new HttpHost("http", address.host(), address.port()),
-                        SOCKET_TIMEOUT,
+                        Timeout.ofMilliseconds(timeoutMillis),
                         boundary,
                         new FutureCallback<>() {
                             @Override
                             public void completed(AsyncClientEndpoint endpoint) {
+                                boundary.setSocketTimeout(SOCKET_TIMEOUT);
                                 mControl.execute(
                                         () ->
                                                 pending.complete(
--- a/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
 
 /**
  * Knows which bytes on one connection belong to a response.
@@ -36,6 +37,10 @@
         mSession = session;
     }
 
+    void setSocketTimeout(Timeout timeout) {
+        mSession.setSocketTimeout(timeout);
+    }
+
     /**
      * Checks, before a request is sent, that the peer has sent nothing since its last response.
      *
