Reject attempt identifiers that are not visible ASCII

Found by the review: endpoints echo the identifier, so that one with a status line in it looked like two merged heads, and one with other bytes like the response to another request. The caller got 502 for a request that ran, and its endpoint lost its kept connections for 30 s: a caller could do that to every endpoint.

Such a request is answered 400 and not sent.

--- a/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
+++ b/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
@@ -51,6 +51,7 @@
     private static final int LOAD_FIELDS = 3;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final char DELETE_CHARACTER = 127;
 
     /** Headers that apply to a single connection and are not forwarded. */
     private static final Set<String> HOP_BY_HOP_HEADERS =
@@ -110,6 +111,10 @@
             throws MalformedRequestException {
         checkFraming(request);
         String attemptIdentifier = singleHeader(request, Headers.ATTEMPT_IDENTIFIER).orElse("");
+        if (!attemptIdentifier.chars().allMatch(OperatorWireFormat::isVisible)) {
+            throw new MalformedRequestException(
+                    "header " + Headers.ATTEMPT_IDENTIFIER + " contains other than visible ASCII");
+        }
         if (attemptIdentifier.isEmpty()) {
             throw new MalformedRequestException(
                     "header " + Headers.ATTEMPT_IDENTIFIER + " is missing");
@@ -249,6 +254,10 @@
         return message;
     }
 
+    private static boolean isVisible(int character) {
+        return character > ' ' && character < DELETE_CHARACTER;
+    }
+
     private static void checkFraming(HttpRequest request) throws MalformedRequestException {
         int lengthHeaders = request.countHeaders(HttpHeaders.CONTENT_LENGTH);
         int encodingHeaders = request.countHeaders(HttpHeaders.TRANSFER_ENCODING);
