--- a/src/main/java/org/vanilladoor/transport/RequestFraming.java
+++ b/src/main/java/org/vanilladoor/transport/RequestFraming.java
@@ -1,6 +1,5 @@
 package org.vanilladoor.transport;
 
-import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -14,26 +13,17 @@
  * <p>Stateless and safe for use by any thread.
  */
 final class RequestFraming {
-    private static final Pattern LENGTH = Pattern.compile("\\d{1,18}");
-
     private RequestFraming() {}
 
     /**
-     * Checks that the head delimits its body in one way only, so that nobody takes a part of the
-     * body for a further request.
+     * Checks that the end of the body is certain.
      *
-     * @throws ProtocolException if the end of the body is in doubt
+     * @throws ProtocolException if it is stated in more than one way or by an unsupported encoding
      */
     static void requireUnambiguous(HttpRequest head) throws ProtocolException {
-        Header[] lengths = head.getHeaders(HttpHeaders.CONTENT_LENGTH);
-        Header[] encodings = head.getHeaders(HttpHeaders.TRANSFER_ENCODING);
-        if (lengths.length + encodings.length > 1) {
-            throw new ProtocolException("the length of the body is stated more than once");
-        }
-        if (lengths.length > 0 && !LENGTH.matcher(lengths[0].getValue()).matches()) {
-            throw new ProtocolException("invalid length of the body");
-        }
-        if (encodings.length > 0 && !isChunked(head, encodings[0])) {
+        MessageFraming.requireUnambiguous(head);
+        Header encoding = head.getFirstHeader(HttpHeaders.TRANSFER_ENCODING);
+        if (encoding != null && !isChunked(head, encoding)) {
             throw new ProtocolException("unsupported encoding of the body");
         }
     }
--- a/src/main/java/org/vanilladoor/transport/ResponseFraming.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseFraming.java
@@ -22,12 +22,7 @@
      * @throws ProtocolException if a length or an encoding is stated more than once, or both are
      */
     public static void requireUnambiguous(HttpResponse head) throws ProtocolException {
-        int statements =
-                head.countHeaders(HttpHeaders.CONTENT_LENGTH)
-                        + head.countHeaders(HttpHeaders.TRANSFER_ENCODING);
-        if (statements > 1) {
-            throw new ProtocolException("the length of the body is stated more than once");
-        }
+        MessageFraming.requireUnambiguous(head);
     }
 
     /** Returns whether only the end of the connection shows where the body ends. */
--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -15,7 +15,7 @@
  * response continues that line. Immutable; safe for use by any thread if the listener is.
  */
 public final class ResponseLineParser extends LazyLaxLineParser {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+(\\.\\d+)?\\s+\\d{3}");
     private static final Pattern HEADER_NAME =
             Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+[ \t]*:");
     private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
--- a/src/test/java/org/vanilladoor/platform/AmbiguousHeadTests.java
+++ b/src/test/java/org/vanilladoor/platform/AmbiguousHeadTests.java
@@ -25,6 +25,21 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"+4", "-1", "0x4", "4,4", "4 4", "\t"})
+    void aBodyWhoseLengthIsNoPlainNumberIsNotForwarded(String length) throws IOException {
+        endpoint(
+                "e",
+                received ->
+                        new Answer(
+                                ScriptedEndpoint.head(received, 200)
+                                        + "Content-Length: "
+                                        + length
+                                        + "\r\n\r\ndone",
+                                End.KEEP));
+        assertWithMessage(length).that(call("POST", "/once/x", "body")).startsWith("HTTP/1.1 502");
+    }
+
     @Test
     void aHeadWithTwoIdentifiersIsNotForwarded() throws IOException {
         endpoint(
--- a/src/test/java/org/vanilladoor/platform/StrayResponseBytesTests.java
+++ b/src/test/java/org/vanilladoor/platform/StrayResponseBytesTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
@@ -57,6 +58,21 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1  500", "HTTP/1.1\t500"})
+    void aRemainderBeforeAnUnusualStatusLineIsRecognized(String statusLine) throws IOException {
+        endpoint(
+                "e",
+                received -> {
+                    String failure = Arrival.failure(received).text();
+                    return new Answer(
+                            "HTTP/1.1 200 OK\r\nX-Cut: a"
+                                    + failure.replace("HTTP/1.1 500", statusLine),
+                            End.KEEP);
+                });
+        assertThat(statusOf(exchange(requestOf("first")))).isEqualTo("502");
+    }
+
     @Test
     void anEndpointThatMixedUpItsResponsesGetsANewConnectionForEachRequest() throws IOException {
         ScriptedEndpoint endpoint =
