Close a caller's connection whose response can't go on

A caller whose request failed inside the gateway waited for the idle timeout of its connection (two minutes): when the receiver threw, when HttpCore rejected the head of a response, when a stream was ended or written to that had not begun, and when a whole response was sent into a stream. Besides, the owner of a stream was not told that its caller had left too much output unread, so that the endpoint went on working for nobody until the deadline.

Cause: FrontExchange kept the start and the end of a response in two flags, and what they did not allow was dropped, with at most a debug line. ResponseState replaces them; what does not fit closes the connection and is logged as a warning. A connection closed for unread output, a rejected head or a failing receiver is reported to the owner as any other disconnect.

--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -34,9 +34,11 @@
  * One request of a caller and its response.
  *
  * <p>The request is passed to the receiver once its body has been read. Invariants: at most one
- * response is sent; nothing is sent after its end; unread output is buffered up to a limit, beyond
- * which the connection is closed. HttpCore calls the handler methods on its own thread, the control
- * thread sends the response; state shared by the two is guarded by this object.
+ * response is sent; nothing is sent after its end; what can't be sent as a response, because
+ * another has begun or HttpCore rejects it, closes the connection, so that the caller sees an end;
+ * unread output is buffered up to a limit, beyond which the connection is closed, too. HttpCore
+ * calls the handler methods on its own thread, the control thread sends the response; state shared
+ * by the two is guarded by this object.
  */
 public final class FrontExchange implements AsyncServerExchangeHandler {
     /** Maximum output buffered for a slow caller; the response of a model is far smaller. */
@@ -61,8 +63,7 @@
     private Runnable mOnDisconnect = () -> {};
     private int mUnsentBytes;
     private boolean mBodyTooLarge;
-    private boolean mResponseStarted;
-    private boolean mResponseEnded;
+    private ResponseState mResponse = ResponseState.NOT_STARTED;
     private boolean mEndSent;
     private boolean mDisconnected;
 
@@ -112,32 +113,36 @@
 
     /** Sends a complete response. */
     public void respond(HttpResponse head, byte[] body) {
-        if (!startResponse(
-                head, new BasicEntityDetails(body.length, null), ByteBuffer.wrap(body), true)) {
-            LOG.debug(
-                    "front: A response was not sent: the caller disconnected or already has one.");
-        }
+        startResponse(
+                head,
+                new BasicEntityDetails(body.length, null),
+                ByteBuffer.wrap(body),
+                ResponseState.ENDED);
     }
 
     /** Starts a response of unknown length. */
     public void startStream(HttpResponse head, byte[] firstBytes) {
-        startResponse(head, new BasicEntityDetails(-1, null), ByteBuffer.wrap(firstBytes), false);
+        startResponse(
+                head,
+                new BasicEntityDetails(-1, null),
+                ByteBuffer.wrap(firstBytes),
+                ResponseState.STREAMING);
     }
 
     /** Sends more of a response started with {@link #startStream}. */
     public void write(byte[] bytes) {
+        if (!tryAdvance(ResponseState.STREAMING, ResponseState.STREAMING)) {
+            return;
+        }
         boolean isOverflowing;
         synchronized (this) {
-            if (mDisconnected || mResponseEnded) {
-                return;
-            }
             mUnsent.add(ByteBuffer.wrap(bytes));
             mUnsentBytes += bytes.length;
             isOverflowing = mUnsentBytes > MAXIMUM_UNSENT_BYTES;
         }
         if (isOverflowing) {
             LOG.warn("front: Closing a connection whose caller leaves too much output unread.");
-            abort();
+            disconnect();
         } else {
             requestOutput();
         }
@@ -145,10 +150,9 @@
 
     /** Ends a response started with {@link #startStream}. */
     public void end() {
-        synchronized (this) {
-            mResponseEnded = true;
+        if (tryAdvance(ResponseState.STREAMING, ResponseState.ENDED)) {
+            requestOutput();
         }
-        requestOutput();
     }
 
     /** Closes the connection, so that the caller can detect that the response is incomplete. */
@@ -174,7 +178,7 @@
         mResponseChannel = responseChannel;
         mContext = context;
         if (entity == null) {
-            mControl.execute(() -> mReceiver.accept(this));
+            mControl.execute(this::passToReceiver);
         } else if (request.containsHeader(HttpHeaders.EXPECT)) {
             responseChannel.sendInformation(new BasicHttpResponse(HttpStatus.SC_CONTINUE), context);
         }
@@ -200,13 +204,22 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        mControl.execute(() -> mReceiver.accept(this));
+        mControl.execute(this::passToReceiver);
+    }
+
+    private void passToReceiver() {
+        try {
+            mReceiver.accept(this);
+        } catch (RuntimeException e) {
+            LOG.error("front: Closing a connection whose request could not be handled.", e);
+            disconnect();
+        }
     }
 
     @Override
     public int available() {
         synchronized (this) {
-            boolean isEndPending = mResponseEnded && !mEndSent && !mDisconnected;
+            boolean isEndPending = mResponse == ResponseState.ENDED && !mEndSent && !mDisconnected;
             return mUnsentBytes > 0 || isEndPending ? Math.max(1, mUnsentBytes) : 0;
         }
     }
@@ -227,7 +240,7 @@
                 }
                 mUnsent.poll();
             }
-            if (mResponseEnded && !mEndSent) {
+            if (mResponse == ResponseState.ENDED && !mEndSent) {
                 mEndSent = true;
                 channel.endStream(null);
             }
@@ -245,10 +258,11 @@
     /** Sends a 400 response before HttpCore closes the connection after a malformed chunk. */
     private void sendMalformedResponse() {
         synchronized (this) {
-            if (mResponseStarted || mDisconnected) {
+            if (mResponse != ResponseState.NOT_STARTED || mDisconnected) {
                 return;
             }
-            mResponseStarted = true;
+            mResponse = ResponseState.ENDED;
+            mEndSent = true;
         }
         try {
             mSession.write(ByteBuffer.wrap(MALFORMED_RESPONSE.getBytes(StandardCharsets.US_ASCII)));
@@ -271,6 +285,11 @@
      * Ends the exchange when the caller closes its side; HttpCore would still send the response.
      */
     private void onCallerClosed() {
+        disconnect();
+    }
+
+    /** Closes the connection and reports that to the owner of the response. */
+    private void disconnect() {
         handleDisconnect();
         mSession.close(CloseMode.GRACEFUL);
     }
@@ -284,18 +303,17 @@
             mDisconnected = true;
             action = mEndSent ? () -> {} : mOnDisconnect;
             mUnsent.clear();
+            mUnsentBytes = 0;
         }
         mControl.execute(action);
     }
 
-    private boolean startResponse(
-            HttpResponse head, EntityDetails entity, ByteBuffer firstBytes, boolean isComplete) {
+    private void startResponse(
+            HttpResponse head, EntityDetails entity, ByteBuffer firstBytes, ResponseState next) {
         synchronized (this) {
-            if (mDisconnected || mResponseStarted) {
-                return false;
+            if (!tryAdvance(ResponseState.NOT_STARTED, next)) {
+                return;
             }
-            mResponseStarted = true;
-            mResponseEnded = isComplete;
             mUnsentBytes = firstBytes.remaining();
             if (firstBytes.hasRemaining()) {
                 mUnsent.add(firstBytes);
@@ -303,14 +321,35 @@
         }
         try {
             mResponseChannel.sendResponse(head, entity, mContext);
-            return true;
         } catch (HttpException | IOException e) {
-            LOG.debug("front: A response could not be sent: {}.", e.getMessage());
-            handleDisconnect();
-            return false;
+            LOG.warn("front: Closing a connection whose response can't be sent: {}.", e.toString());
+            disconnect();
         }
     }
 
+    /**
+     * Advances the response. If it has begun otherwise, or not at all, its connection is closed.
+     *
+     * @return whether the response has advanced
+     */
+    private boolean tryAdvance(ResponseState from, ResponseState to) {
+        synchronized (this) {
+            if (mDisconnected) {
+                return false;
+            }
+            if (mResponse == from) {
+                mResponse = to;
+                return true;
+            }
+            LOG.warn("front: A response can't go from {} to {}.", mResponse, to);
+            if (mResponse == ResponseState.ENDED) {
+                return false;
+            }
+        }
+        abort();
+        return false;
+    }
+
     private void requestOutput() {
         DataStreamChannel output;
         synchronized (this) {
@@ -320,4 +359,11 @@
             output.requestOutput();
         }
     }
+
+    /** How far the response has come. */
+    private enum ResponseState {
+        NOT_STARTED,
+        STREAMING,
+        ENDED
+    }
 }
