Reset the connection of a caller whose unframed stream is cut off

A caller that speaks HTTP/1.0 gets a stream without chunks, which ends with its connection. A stream that was cut off ended the same way and looked complete.

Such a connection is now closed with a reset. With chunks the missing last chunk shows the cut, and an ordinary close lets the caller read the events that were sent before.

Evidence: FrontExchangeTests.aStreamThatOnlyItsConnectionDelimitsIsCutOffWithAReset, before: read as complete; after: reset. A completed stream to such a caller still ends with an ordinary close.

--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -17,7 +17,9 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.ProtocolVersion;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -163,7 +165,7 @@
             mUnsent.clear();
             mUnsentBytes = 0;
         }
-        mSession.close(CloseMode.GRACEFUL);
+        mSession.close(closeMode());
     }
 
     @Override
@@ -291,7 +293,16 @@
     /** Closes the connection and reports that to the owner of the response. */
     private void disconnect() {
         handleDisconnect();
-        mSession.close(CloseMode.GRACEFUL);
+        mSession.close(closeMode());
+    }
+
+    /** A response without chunks ends with its connection, so that only a reset cuts it off. */
+    private synchronized CloseMode closeMode() {
+        ProtocolVersion version = mRequest.getVersion();
+        boolean hasChunks = version == null || version.greaterEquals(HttpVersion.HTTP_1_1);
+        return mResponse == ResponseState.STREAMING && !hasChunks
+                ? CloseMode.IMMEDIATE
+                : CloseMode.GRACEFUL;
     }
 
     private void handleDisconnect() {
--- a/src/test/java/org/vanilladoor/transport/FrontExchangeTests.java
+++ b/src/test/java/org/vanilladoor/transport/FrontExchangeTests.java
@@ -1,11 +1,13 @@
 package org.vanilladoor.transport;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -56,6 +58,32 @@
         assertThat(response).doesNotContain(LAST_CHUNK);
     }
 
+    @Test
+    void aStreamThatOnlyItsConnectionDelimitsIsCutOffWithAReset() throws Exception {
+        startServer(
+                exchange -> {
+                    exchange.startStream(ok(), EVENT);
+                    mControl.schedule(Duration.ofMillis(100), exchange::abort);
+                });
+        try (Socket caller = sendRequest("HTTP/1.0")) {
+            assertThrows(SocketException.class, () -> caller.getInputStream().readAllBytes());
+        }
+    }
+
+    @Test
+    void aStreamThatOnlyItsConnectionDelimitsEndsWithIt() throws Exception {
+        startServer(
+                exchange -> {
+                    exchange.startStream(ok(), EVENT);
+                    mControl.schedule(Duration.ofMillis(100), exchange::end);
+                });
+        try (Socket caller = sendRequest("HTTP/1.0")) {
+            String response =
+                    new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(response).endsWith("\r\n\r\ndata: a\n\n");
+        }
+    }
+
     @Test
     void anEndWithoutAResponseClosesTheConnection() throws Exception {
         assertThat(responseOf(FrontExchange::end)).isEmpty();
@@ -109,11 +137,15 @@
     }
 
     private Socket sendRequest() throws IOException {
+        return sendRequest("HTTP/1.1");
+    }
+
+    private Socket sendRequest(String version) throws IOException {
         Socket caller = new Socket("127.0.0.1", mServer.address().port());
         caller.setSoTimeout(WAIT_MILLIS);
         caller.getOutputStream()
                 .write(
-                        "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                        ("GET / " + version + "\r\nHost: h\r\nConnection: close\r\n\r\n")
                                 .getBytes(StandardCharsets.US_ASCII));
         return caller;
     }
