--- a/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
@@ -109,14 +109,6 @@
         assertThat(events(seen.text())).isEqualTo(FIRST);
     }
 
-    @Test
-    void aStreamCutInsideAChunkSizeThatBeginsWithZeroDoesNotLookComplete() throws IOException {
-        String begun = events200(End.KEEP, FIRST).apply(received("id-1")).text();
-        Answer cut = new Answer(begun.replace("0\r\n\r\n", "00"), End.CLOSE_WHEN_TRIGGERED);
-        Seen seen = streamOver("/chat/", received -> cut);
-        assertWithMessage(seen.text()).that(seen.end()).isEqualTo(Ending.CUT);
-    }
-
     @Test
     void aStreamThatBrokeOffAfterItsLastEventIsCompletedByAnEmptyOne() throws IOException {
         Seen seen = streamOver("/resume/", begun(), events200(End.KEEP));
