Let the end of a connection end only bodies that nothing else delimits

ORDER: a stream that was cut after the first zeros of a chunk's size ("00" of "0011") ended as if it were complete. HttpCore's chunk decoder takes the digits before the end of a connection for a whole size line.

The channel that a body is read from now fails at its end, unless the body has neither a length nor chunks.

--- a/src/main/java/org/vanilladoor/transport/ConnectionHandlerFactory.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionHandlerFactory.java
@@ -1,9 +1,7 @@
 package org.vanilladoor.transport;
 
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestContent;
@@ -13,7 +11,7 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 
 /**
- * Gives each outgoing connection a parser that knows which bytes belong to a response.
+ * Gives each outgoing connection a handler that knows which bytes belong to a response.
  *
  * <p>The attachment of a connection is its {@link ResponseBoundary}. Immutable and safe for use by
  * any thread.
@@ -37,14 +35,6 @@
                 (ResponseBoundary) ((EndpointParameters) attachment).getAttachment();
         boundary.bind(session);
         return new ClientHttp1IOEventHandler(
-                new ClientHttp1StreamDuplexerFactory(
-                                REQUEST_PROCESSOR,
-                                mConfig,
-                                CharCodingConfig.DEFAULT,
-                                null,
-                                () -> ResponseParser.create(mConfig, boundary),
-                                null,
-                                boundary)
-                        .create(session));
+                OutgoingDuplexer.create(session, REQUEST_PROCESSOR, mConfig, boundary));
     }
 }
