Ask the store again over a new connection when it doesn't answer in time

Cause: two waits added up. A wait for changes was given up 0.9 s after its end, 3.4 s after it had begun; then any failed wait counted as an outage of the store, in which entries lapse, so that a missing entry was kept for 1.8 s more.

A wait that has no response 0.3 s after its end, or fails, is repeated at once over a new connection, with the shortest wait; the first response counts. The store is unavailable only if the repetition fails, too. While it is unavailable nothing is repeated, so that an outage costs no further calls.

StoreFeedTests: the two new cases failed before (3.2 s of 3.0 s allowed; one outage for a reset connection) and pass.

--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -23,6 +23,7 @@
 import org.vanilladoor.provider.StoredObjectLister;
 import org.vanilladoor.provider.UnreadableObjects;
 import org.vanilladoor.provider.VersionConflictException;
+import org.vanilladoor.transport.ConnectionUse;
 
 /**
  * Client of the platform's object store.
@@ -155,10 +156,12 @@
      *
      * @param revision revision after which changes are returned
      * @param waitMillis maximum time for which the store waits for a change before it responds
+     * @param use connections that may carry the call
      */
-    CompletableFuture<Changes> awaitChanges(String kind, long revision, long waitMillis) {
+    CompletableFuture<Changes> awaitChanges(
+            String kind, long revision, long waitMillis, ConnectionUse use) {
         String path = PATH + encode(kind) + "?watch=" + revision + "&wait_ms=" + waitMillis;
-        return send("GET", path, Optional.empty(), waitMillis + RESPONSE_TIMEOUT_MILLIS)
+        return send("GET", path, use, Optional.empty(), waitMillis + RESPONSE_TIMEOUT_MILLIS)
                 .thenApply(
                         response -> {
                             if (response.status() == HttpStatus.SC_GONE) {
@@ -299,8 +302,22 @@
 
     private CompletableFuture<PlatformCalls.Response> send(
             String method, String path, Optional<Object> body, long timeoutMillis) {
+        return send(method, path, ConnectionUse.ANY, body, timeoutMillis);
+    }
+
+    private CompletableFuture<PlatformCalls.Response> send(
+            String method,
+            String path,
+            ConnectionUse use,
+            Optional<Object> body,
+            long timeoutMillis) {
         return mCalls.sendForEntries(
-                mAddress, new BasicHttpRequest(method, path), body, timeoutMillis, LIST_FIELDS);
+                mAddress,
+                use,
+                new BasicHttpRequest(method, path),
+                body,
+                timeoutMillis,
+                LIST_FIELDS);
     }
 
     /**
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -83,17 +83,12 @@
      */
     CompletableFuture<Response> sendForEntries(
             HostPort address,
+            ConnectionUse use,
             HttpRequest request,
             Optional<Object> body,
             long timeoutMillis,
             Set<String> listFields) {
-        return send(
-                address,
-                ConnectionUse.ANY,
-                request,
-                body,
-                timeoutMillis,
-                new SplitContent(listFields));
+        return send(address, use, request, body, timeoutMillis, new SplitContent(listFields));
     }
 
     private CompletableFuture<Response> send(
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -8,14 +8,17 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.ExpiryClock;
+import org.vanilladoor.transport.ConnectionUse;
 
 /**
  * Follows the objects of one kind in the platform's store by listing them and then watching for
  * changes; it never stops.
  *
- * <p>Invariants: at most one call is open at a time; changes are reported in the order of the
- * store; if the store no longer holds the changes since the last known revision, all objects are
- * listed again. Confined to the control thread.
+ * <p>Invariants: a wait for changes that gets no response in time, or fails, is repeated once over
+ * a new connection, since a connection may fall silent for good; the store is unavailable only if
+ * that fails, too. Changes are reported in the order of the store; if the store no longer holds the
+ * changes since the last known revision, all objects are listed again. Confined to the control
+ * thread.
  */
 final class StoreFeed {
     /** Minimum delay after a failed call; the delay is random and up to twice as long. */
@@ -30,6 +33,9 @@
      */
     private static final long ADDITIONAL_AGE_MILLIS = 500;
 
+    /** Time without a response, after the end of the wait, after which the call is repeated. */
+    private static final long REPEAT_DELAY_MILLIS = 300;
+
     private final ControlLoop mControl;
     private final ObjectClient mClient;
     private final String mKind;
@@ -91,9 +97,7 @@
             long remainingMillis =
                     mConfirmedMillis + mWaitMillis + ADDITIONAL_AGE_MILLIS - mRequestedMillis;
             long waitMillis = Math.max(MINIMUM_WAIT_MILLIS, Math.min(mWaitMillis, remainingMillis));
-            mClient.awaitChanges(mKind, mRevision, waitMillis)
-                    .thenAccept(changes -> applyChanges(changes, waitMillis))
-                    .whenComplete((ignored, failure) -> scheduleNextPoll(failure));
+            new Watch().start(waitMillis);
         } else {
             mClient.listAll(mKind)
                     .thenAccept(this::applyListing)
@@ -114,7 +118,7 @@
         confirm(mRequestedMillis);
     }
 
-    private void applyChanges(ObjectClient.Changes changes, long waitMillis) {
+    private void applyChanges(ObjectClient.Changes changes, long requestedMillis, long waitMillis) {
         markAvailable();
         if (changes.historyGone()) {
             EventLog.write("store", "history.gone", "kind", mKind, "revision", mRevision);
@@ -123,7 +127,7 @@
         }
         changes.events().forEach(this::applyChange);
         mRevision = changes.revision();
-        confirm(confirmedMillis(changes.events().isEmpty(), waitMillis, ExpiryClock.nowMillis()));
+        confirm(confirmedMillis(changes.events().isEmpty(), requestedMillis, waitMillis));
     }
 
     private void confirm(long confirmedMillis) {
@@ -159,9 +163,10 @@
      * <p>A store that reports no change has waited for the whole time before it responded, unless
      * the response arrives earlier than that.
      */
-    private long confirmedMillis(boolean isUnchanged, long waitMillis, long nowMillis) {
-        boolean hasWaited = nowMillis - mRequestedMillis >= waitMillis;
-        return isUnchanged && hasWaited ? mRequestedMillis + waitMillis : mRequestedMillis;
+    private static long confirmedMillis(
+            boolean isUnchanged, long requestedMillis, long waitMillis) {
+        boolean hasWaited = ExpiryClock.nowMillis() - requestedMillis >= waitMillis;
+        return isUnchanged && hasWaited ? requestedMillis + waitMillis : requestedMillis;
     }
 
     private void markAvailable() {
@@ -189,6 +194,61 @@
         mControl.schedule(Duration.ofMillis(delayMillis), this::poll);
     }
 
+    /**
+     * One wait for changes, with its repetition.
+     *
+     * <p>Invariant: the first response counts. Confined to the control thread.
+     */
+    private final class Watch {
+        private int mOpenCalls;
+        private boolean mRepeated;
+        private boolean mAnswered;
+        private boolean mEnded;
+
+        void start(long waitMillis) {
+            call(waitMillis, ConnectionUse.ANY);
+            mControl.schedule(
+                    Duration.ofMillis(waitMillis + REPEAT_DELAY_MILLIS), this::repeatUnlessEnded);
+        }
+
+        private void call(long waitMillis, ConnectionUse use) {
+            mOpenCalls++;
+            long requestedMillis = ExpiryClock.nowMillis();
+            mClient.awaitChanges(mKind, mRevision, waitMillis, use)
+                    .thenAccept(changes -> onResponse(changes, requestedMillis, waitMillis))
+                    .whenComplete((ignored, failure) -> onCallEnded(failure));
+        }
+
+        private void onResponse(
+                ObjectClient.Changes changes, long requestedMillis, long waitMillis) {
+            if (!mAnswered) {
+                mAnswered = true;
+                applyChanges(changes, requestedMillis, waitMillis);
+            }
+        }
+
+        private void onCallEnded(Throwable failure) {
+            mOpenCalls--;
+            if (mEnded) {
+                return;
+            }
+            if (!mAnswered && !mRepeated && !mUnavailable) {
+                repeatUnlessEnded();
+            } else if (mAnswered || mOpenCalls == 0) {
+                mEnded = true;
+                scheduleNextPoll(failure);
+            }
+        }
+
+        private void repeatUnlessEnded() {
+            if (!mEnded && !mRepeated) {
+                mRepeated = true;
+                EventLog.write("store", "watch.repeated", "kind", mKind, "revision", mRevision);
+                call(MINIMUM_WAIT_MILLIS, ConnectionUse.NEW);
+            }
+        }
+    }
+
     /** Receives the objects of a kind and their changes on the control thread. */
     interface Listener {
         /** Called with all objects of the kind, which replace those reported before. */
--- a/src/test/java/org/vanilladoor/platform/FaultyLink.java
+++ b/src/test/java/org/vanilladoor/platform/FaultyLink.java
@@ -7,6 +7,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.function.Supplier;
@@ -26,6 +28,7 @@
     private final ServerSocket mServer;
     private final Supplier<HostPort> mTarget;
     private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
+    private final Set<Socket> mSilenced = ConcurrentHashMap.newKeySet();
     private volatile State mState = State.HEALTHY;
 
     private FaultyLink(ServerSocket server, Supplier<HostPort> target) {
@@ -53,6 +56,11 @@
         }
     }
 
+    /** Lets the connections that are open now drop all later bytes; new ones work. */
+    void silenceOpenConnections() {
+        mSilenced.addAll(mSockets);
+    }
+
     @Override
     public void close() throws IOException {
         mServer.close();
@@ -100,6 +108,7 @@
             int count = input.read(buffer);
             while (count >= 0) {
                 dropping |= mState == State.SILENT || mState == droppingState;
+                dropping |= mSilenced.contains(from);
                 if (mState == State.SLOW) {
                     Thread.sleep(SLOW_DELAY_MILLIS);
                 }
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,19 +31,26 @@
     /** Time after the start of a wait at which a change counts as late. */
     private static final long LATE_MILLIS = 1_200;
 
+    /**
+     * Time within which a VM has to act on what the store knows, whatever happened to it before.
+     */
+    private static final long NOTICE_MILLIS = 3_000;
+
+    private final AtomicInteger mUnavailableCount = new AtomicInteger();
     private final ControlLoop mControl = ControlLoop.start("feed-tests");
     private final Set<String> mKnownNames = ConcurrentHashMap.newKeySet();
     private final List<Long> mConfirmedMillis = new CopyOnWriteArrayList<>();
     private ConnectionPool mConnections;
     private SoakPlatform mPlatform;
+    private FaultyLink mLink;
 
     @BeforeEach
     void start() throws IOException {
         mConnections = ConnectionPool.start(mControl, anomaly -> {});
         mPlatform = SoakPlatform.start(new SoakLedger());
+        mLink = FaultyLink.start(mPlatform::address);
         ObjectClient client =
-                ObjectClient.create(
-                        PlatformCalls.create(mControl, mConnections), mPlatform.address());
+                ObjectClient.create(PlatformCalls.create(mControl, mConnections), mLink.address());
         StoreFeed.start(
                 mControl,
                 client,
@@ -54,9 +62,10 @@
     }
 
     @AfterEach
-    void stop() {
+    void stop() throws IOException {
         mControl.close();
         mConnections.close();
+        mLink.close();
         mPlatform.close();
     }
 
@@ -134,6 +143,28 @@
                 .isAtMost(WAIT_MILLIS + ADDITIONAL_AGE_MILLIS - LATE_MILLIS);
     }
 
+    @Test
+    void aChangeIsKnownInTimeAfterOpenConnectionsHaveFallenSilent() throws InterruptedException {
+        awaitNextWatch();
+        mLink.silenceOpenConnections();
+        long silentNanos = System.nanoTime();
+        put("changed");
+        awaitKnown("changed");
+        long elapsedMillis = (System.nanoTime() - silentNanos) / 1_000_000;
+        assertThat(elapsedMillis).isLessThan(NOTICE_MILLIS);
+        assertThat(mUnavailableCount.get()).isEqualTo(0);
+    }
+
+    @Test
+    void aConnectionThatIsResetIsNoOutage() throws InterruptedException {
+        awaitNextWatch();
+        mLink.setState(FaultyLink.State.RESET);
+        mLink.setState(FaultyLink.State.HEALTHY);
+        put("changed");
+        awaitKnown("changed");
+        assertThat(mUnavailableCount.get()).isEqualTo(0);
+    }
+
     private void awaitNextWatch() throws InterruptedException {
         awaitWatchAfter(mPlatform.watchRequestCount());
     }
@@ -193,7 +224,7 @@
 
         @Override
         public void onStoreUnavailable() {
-            // These tests check names only.
+            mUnavailableCount.incrementAndGet();
         }
     }
 }
