--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -113,7 +113,11 @@
 
     ScriptedEndpoint endpoint(String name, EngineRole role, Function<Received, Answer> script)
             throws IOException {
-        ScriptedEndpoint endpoint = ScriptedEndpoint.start(script);
+        return register(name, role, ScriptedEndpoint.start(script));
+    }
+
+    /** Adds an endpoint of this test to the endpoints that the gateway knows. */
+    ScriptedEndpoint register(String name, EngineRole role, ScriptedEndpoint endpoint) {
         mEndpoints.add(endpoint);
         mControl.submit(
                         () -> {
--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.ThreadPools;
 
@@ -24,26 +25,35 @@
  * <p>Serves each connection on a thread of its own, so that the script may be run concurrently.
  */
 final class ScriptedEndpoint implements AutoCloseable {
+    /** The signature of responses whose head this class builds. */
+    static final String STAMP = "proof";
+
     private static final long REPETITION_PAUSE_MILLIS = 100;
     private static final long STRAY_PAUSE_MILLIS = 5;
     private static final ExecutorService THREADS =
             ThreadPools.newDaemonThreadPool("scripted-endpoint");
     private final ServerSocket mServer;
-    private final Function<Received, Answer> mScript;
+    private final Supplier<Function<Received, Answer>> mScripts;
     private final List<Received> mReceived = new CopyOnWriteArrayList<>();
     private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
     private final CountDownLatch mCloseTrigger = new CountDownLatch(1);
     private final Semaphore mStraysSent = new Semaphore(0);
     private volatile int mConnectionsClosedByPeer;
 
-    private ScriptedEndpoint(ServerSocket server, Function<Received, Answer> script) {
+    private ScriptedEndpoint(ServerSocket server, Supplier<Function<Received, Answer>> scripts) {
         mServer = server;
-        mScript = script;
+        mScripts = scripts;
     }
 
     static ScriptedEndpoint start(Function<Received, Answer> script) throws IOException {
+        return startPerConnection(() -> script);
+    }
+
+    /** Starts an endpoint that takes a new script for each connection. */
+    static ScriptedEndpoint startPerConnection(Supplier<Function<Received, Answer>> scripts)
+            throws IOException {
         ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        ScriptedEndpoint endpoint = new ScriptedEndpoint(server, script);
+        ScriptedEndpoint endpoint = new ScriptedEndpoint(server, scripts);
         THREADS.execute(endpoint::accept);
         return endpoint;
     }
@@ -104,7 +114,9 @@
                 + status
                 + " Status\r\nVanilladoor-Attempt-Id: "
                 + request.header("vanilladoor-attempt-id")
-                + "\r\nVanilladoor-Stamp: proof\r\n";
+                + "\r\nVanilladoor-Stamp: "
+                + STAMP
+                + "\r\n";
     }
 
     @Override
@@ -130,19 +142,23 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream input = new BufferedInputStream(socket.getInputStream());
+            Function<Received, Answer> script = mScripts.get();
             while (true) {
                 Received request = Received.read(input);
                 if (request == null) {
                     return;
                 }
                 mReceived.add(request);
-                Answer answer = mScript.apply(request);
-                socket.getOutputStream().write(answer.text().getBytes(StandardCharsets.US_ASCII));
-                socket.getOutputStream().flush();
+                Answer answer = script.apply(request);
+                socket.setTcpNoDelay(true);
+                socket.getOutputStream().write(bytes(answer.text()));
+                for (String piece : answer.laterPieces()) {
+                    Thread.sleep(STRAY_PAUSE_MILLIS);
+                    socket.getOutputStream().write(bytes(piece));
+                }
                 if (answer.end() == End.KEEP_AND_STRAY) {
                     Thread.sleep(STRAY_PAUSE_MILLIS);
-                    socket.getOutputStream()
-                            .write(answer.repeated().getBytes(StandardCharsets.US_ASCII));
+                    socket.getOutputStream().write(bytes(answer.repeated()));
                     mStraysSent.release();
                     continue;
                 }
@@ -150,8 +166,7 @@
                     if (answer.end() == End.ENDLESS_SLOW) {
                         Thread.sleep(REPETITION_PAUSE_MILLIS);
                     }
-                    socket.getOutputStream()
-                            .write(answer.repeated().getBytes(StandardCharsets.US_ASCII));
+                    socket.getOutputStream().write(bytes(answer.repeated()));
                 }
                 if (answer.end() == End.HANG) {
                     mConnectionsClosedByPeer += input.read() < 0 ? 1 : 0;
@@ -179,6 +194,10 @@
         }
     }
 
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
     /** What the endpoint does with the connection after sending an answer. */
     enum End {
         /** Keeps the connection open and reads the next request. */
@@ -207,12 +226,22 @@
      * @param text bytes to send, which need not be a valid response
      * @param end what the endpoint does with the connection afterwards
      * @param repeated bytes that follow once later, or again and again if the answer is endless
+     * @param laterPieces bytes to send after the text, each after a pause
      */
-    record Answer(String text, End end, String repeated) {
+    record Answer(String text, End end, String repeated, List<String> laterPieces) {
         Answer(String text, End end) {
             this(text, end, "");
         }
 
+        Answer(String text, End end, String repeated) {
+            this(text, end, repeated, List.of());
+        }
+
+        /** Returns an answer that is sent in pieces, with a pause before all but the first. */
+        static Answer inPieces(List<String> pieces, End end) {
+            return new Answer(pieces.get(0), end, "", pieces.subList(1, pieces.size()));
+        }
+
         /** Returns this answer, followed by bytes that arrive while the connection is idle. */
         Answer withStray(String bytes) {
             return new Answer(text, End.KEEP_AND_STRAY, bytes);
--- a/src/test/java/org/vanilladoor/platform/UnframedResponseTests.java
+++ b/src/test/java/org/vanilladoor/platform/UnframedResponseTests.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
@@ -69,6 +71,20 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {204, 304})
+    void aResponseWithoutBodyThatEndsInsideItsHeadIsNotForwarded(int status) throws IOException {
+        endpoint("e", received -> truncated(bodyless(received, status), End.CLOSE));
+        int wholeLength =
+                bodyless(new Received("vanilladoor-attempt-id: id-1", ""), status).length();
+        for (int length = 0; length < wholeLength; length++) {
+            mLength.set(length);
+            assertWithMessage("response closed after %s bytes", length)
+                    .that(call("POST", "/once/x", "body"))
+                    .startsWith("HTTP/1.1 502");
+        }
+    }
+
     private Answer truncated(String response, End end) {
         return new Answer(response.substring(0, Math.min(response.length(), mLength.get())), end);
     }
@@ -80,6 +96,10 @@
                 + SECOND_EVENT;
     }
 
+    private static String bodyless(Received received, int status) {
+        return ScriptedEndpoint.head(received, status) + "\r\n";
+    }
+
     private static String plain(Received received) {
         return ScriptedEndpoint.head(received, 200) + "\r\nwhole";
     }
