--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -5,14 +5,17 @@
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.transport.CallFailure;
+import org.vanilladoor.transport.ConnectionAnomaly;
+import org.vanilladoor.transport.ConnectionUse;
 import org.vanilladoor.transport.OutgoingCall;
 import org.vanilladoor.transport.OutgoingListener;
 
 /**
  * One endpoint call and its response. Counts as load of the endpoint while it is in progress.
  *
- * <p>Invariants: a response that carries another attempt's identifier is a failure and closes the
- * connection; the load is decremented exactly once. Confined to the control thread.
+ * <p>Invariants: a response that doesn't carry the identifier of this very attempt, or whose head
+ * contradicts itself, is neither an answer nor a refusal: the outcome of the call is unknown, and
+ * the connection is closed. The load is decremented exactly once. Confined to the control thread.
  */
 final class EndpointExchange implements OutgoingListener {
     /** Time limit of the call that releases a KV cache. */
@@ -48,6 +51,8 @@
                 context.connections()
                         .send(
                                 call.endpoint().address(),
+                                context.callHistory()
+                                        .record(request.identifier(), call.endpoint().address()),
                                 connectTimeoutMillis,
                                 context.wireFormat().encodeCall(request, call),
                                 request.body(),
@@ -67,6 +72,7 @@
                 context.connections()
                         .send(
                                 kvCache.endpoint().address(),
+                                ConnectionUse.ANY,
                                 connectTimeoutMillis,
                                 context.wireFormat().encodeKvCacheRelease(kvCache),
                                 new byte[0],
@@ -101,8 +107,12 @@
             return;
         }
         EndpointResponse response = mContext.wireFormat().decodeResponseHead(head);
+        if (response.contradiction().isPresent()) {
+            endWithForeignResponse(response.contradiction().get());
+            return;
+        }
         if (!response.identifier().equals(mRequest.identifier())) {
-            endWithInvalidResponse("the response belongs to another request");
+            endWithForeignResponse("the response belongs to another request");
             return;
         }
         response.load()
@@ -125,6 +135,13 @@
         }
     }
 
+    private void endWithForeignResponse(String reason) {
+        mContext.connections()
+                .recordAnomaly(
+                        mCall.endpoint().address(), ConnectionAnomaly.FOREIGN_RESPONSE, reason);
+        endWithInvalidResponse(reason);
+    }
+
     /** Closes the connection, on which the endpoint may go on sending for ever. */
     private void endWithInvalidResponse(String reason) {
         abandon();
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import org.apache.hc.core5.http.HttpStatus;
 import org.vanilladoor.fleet.LoadSample;
 import org.vanilladoor.fleet.StatedLimit;
 
@@ -17,6 +19,8 @@
  * @param identifier identifier of the attempt that the response belongs to, or an empty string
  * @param load the endpoint's load, if reported
  * @param limit what the endpoint says about the rate of requests that it takes
+ * @param contradiction why the head can't be the response to any call, if its fields contradict one
+ *     another; the other components then mean nothing
  */
 public record EndpointResponse(
         int status,
@@ -24,15 +28,25 @@
         boolean isSigned,
         String identifier,
         Optional<LoadSample> load,
-        StatedLimit limit) {
+        StatedLimit limit,
+        Optional<String> contradiction) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /** Statuses that callers take as a promise that the request has not run and never will. */
+    private static final Set<Integer> NOT_RUN_STATUSES =
+            Set.of(
+                    HttpStatus.SC_REQUEST_TIMEOUT,
+                    HttpStatus.SC_MISDIRECTED_REQUEST,
+                    HttpStatus.SC_TOO_MANY_REQUESTS,
+                    HttpStatus.SC_SERVICE_UNAVAILABLE);
+
     public EndpointResponse {
         Objects.requireNonNull(identifier, "identifier");
         Objects.requireNonNull(load, "load");
         Objects.requireNonNull(limit, "limit");
+        Objects.requireNonNull(contradiction, "contradiction");
     }
 
     /** Returns whether the status is in the 2xx range. */
@@ -44,4 +58,9 @@
     public boolean isServerError() {
         return status >= FIRST_SERVER_ERROR;
     }
+
+    /** Returns whether a caller that gets the status takes the request for one that has not run. */
+    public boolean promisesNotRun() {
+        return NOT_RUN_STATUSES.contains(status);
+    }
 }
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -2,6 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
@@ -13,10 +16,10 @@
  * Handles the response to one endpoint call: forwards it to the caller, retries, or refuses the
  * request.
  *
- * <p>Invariants: a streaming response is forwarded in complete events only; any other response is
- * forwarded only if it is complete and carries the endpoint's signature. An endpoint failure that
- * does not state that the request was not run is never reported to the caller as not run. Confined
- * to the control thread.
+ * <p>Invariants: only signed event streams are forwarded into a stream, in complete events whose
+ * identifiers grow; any other response is forwarded only if it is complete and carries the
+ * endpoint's signature. An endpoint failure that does not state that the request was not run is
+ * never reported to the caller as not run. Confined to the control thread.
  */
 final class EndpointResponseHandler implements EndpointExchange.Listener {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
@@ -36,6 +39,7 @@
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private EndpointResponse mResponse;
     private HttpResponse mHead;
+    private boolean mIsEventStream;
     private boolean mHasBegun;
     private long mBegunMillis;
     private boolean mSurvived;
@@ -51,16 +55,27 @@
     public void onHead(HttpResponse head, EndpointResponse response) {
         mHead = head;
         mResponse = response;
+        mIsEventStream =
+                mStage == EndpointCall.Stage.RUN
+                        && mExecution.route().kind().isStreaming()
+                        && response.isSuccess()
+                        && response.isSigned()
+                        && !head.containsHeader(HttpHeaders.CONTENT_ENCODING)
+                        && isEventStreamType(head.getFirstHeader(HttpHeaders.CONTENT_TYPE));
+    }
+
+    /** An undeclared type is taken for a stream of events, unless it would go on with another. */
+    private boolean isEventStreamType(Header contentType) {
+        if (contentType == null) {
+            return !mExecution.isStreaming();
+        }
+        return ContentType.TEXT_EVENT_STREAM.isSameMimeType(
+                ContentType.parseLenient(contentType.getValue()));
     }
 
     @Override
     public boolean onData(byte[] bytes) {
-        boolean isEventStream =
-                mStage == EndpointCall.Stage.RUN
-                        && mExecution.route().kind().isStreaming()
-                        && mResponse.isSuccess()
-                        && mResponse.isSigned();
-        if (!isEventStream) {
+        if (!mIsEventStream) {
             mBody.writeBytes(bytes);
             return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
         }
@@ -68,27 +83,20 @@
         if (completeEvents.length > 0) {
             forwardEvents(completeEvents);
         }
-        return mExecution.progress().events().partialBytes() <= MAXIMUM_EVENT_BYTES;
+        return !mExecution.progress().events().isOutOfOrder()
+                && mExecution.progress().events().partialBytes() <= MAXIMUM_EVENT_BYTES;
     }
 
     private void forwardEvents(byte[] events) {
         recordProgress();
-        if (mExecution.progress().isStreaming()) {
-            mExecution.exchange().write(events);
-            return;
+        if (!mExecution.isStreaming()) {
+            mExecution.countStartedRequest();
+            mContext.metrics()
+                    .recordDuration(
+                            "requests.first_event_millis",
+                            MonotonicClock.nowMillis() - mExecution.progress().arrivedMillis());
         }
-        mExecution.progress().markStreaming();
-        mExecution.countStartedRequest();
-        mContext.metrics()
-                .recordDuration(
-                        "requests.first_event_millis",
-                        MonotonicClock.nowMillis() - mExecution.progress().arrivedMillis());
-        mExecution
-                .exchange()
-                .startStream(
-                        CallerResponses.addCloseIfStopping(
-                                mContext, mContext.wireFormat().toCallerResponse(mHead)),
-                        events);
+        mExecution.forward(mHead, events);
     }
 
     /** Once an engine has gone on after the first event, it has survived the prompt. */
@@ -140,17 +148,7 @@
     private void onRunResponse(Endpoint endpoint) {
         long nowMillis = MonotonicClock.nowMillis();
         if (mExecution.route().kind().isStreaming() && mResponse.isSuccess()) {
-            if (mExecution.progress().isStreaming()
-                    && mExecution.progress().events().endsAtEventBoundary()) {
-                mContext.placement().recordSuccess(endpoint, nowMillis);
-                recordSurvival(nowMillis);
-                mExecution.finish("served", endpoint.name());
-                mExecution.exchange().end();
-            } else {
-                handleBrokenResponse(
-                        endpoint,
-                        "the response stream ended before its first event or inside an event");
-            }
+            onStreamResponse(endpoint);
             return;
         }
         if (!mResponse.isSigned()) {
@@ -159,10 +157,11 @@
                     "the response has no endpoint signature; status " + mResponse.status());
             return;
         }
-        if (mResponse.isServerError()) {
+        // An endpoint that can't go on with a stream has failed, whatever its status.
+        if (mResponse.isServerError() || mExecution.isStreaming()) {
             mContext.placement().recordFailure(endpoint, nowMillis);
             mExecution.progress().countPossibleRun();
-            if (mExecution.mayRunAgain() && mExecution.attemptBudget().tryAcquireRetry(nowMillis)) {
+            if (mayRunAgain() && mExecution.attemptBudget().tryAcquireRetry(nowMillis)) {
                 countStartedUnlessStreaming();
                 mExecution.attemptBudget().recordAcquiredRetry();
                 mExecution.retryElsewhere(
@@ -173,21 +172,45 @@
             mContext.placement().recordSuccess(endpoint, nowMillis);
         }
         countStartedUnlessStreaming();
-        if (mResponse.status() == Refusal.NOT_RUN.status()) {
+        if (mResponse.status() == Refusal.NOT_RUN.status() || isUntruePromise()) {
             // To a caller, this status means that the request was not run. The endpoint did not
             // state that, so its response is not forwarded.
-            mExecution.refuse(
+            mExecution.endWithFailure(
                     Refusal.OUTCOME_UNKNOWN,
                     "the endpoint failed with status " + mResponse.status());
             return;
         }
-        mExecution.finish("served", endpoint.name() + " with status " + mResponse.status());
-        mExecution
-                .exchange()
-                .respond(
-                        CallerResponses.addCloseIfStopping(
-                                mContext, mContext.wireFormat().toCallerResponse(mHead)),
-                        mBody.toByteArray());
+        mExecution.endWithResponse(
+                mHead, mBody.toByteArray(), endpoint.name() + " with status " + mResponse.status());
+    }
+
+    private void onStreamResponse(Endpoint endpoint) {
+        if (!mIsEventStream) {
+            handleBrokenResponse(
+                    endpoint,
+                    "the response is not a signed event stream; status " + mResponse.status());
+        } else if (mExecution.isStreaming()
+                && mExecution.progress().events().endsAtEventBoundary()) {
+            long nowMillis = MonotonicClock.nowMillis();
+            mContext.placement().recordSuccess(endpoint, nowMillis);
+            recordSurvival(nowMillis);
+            mExecution.completeStream(endpoint.name());
+        } else {
+            handleBrokenResponse(
+                    endpoint,
+                    "the response stream ended before its first event or inside an event");
+        }
+    }
+
+    private boolean mayRunAgain() {
+        return mExecution.route().allowsRetryAfterExecution()
+                && mExecution.progress().events().isResumable()
+                && mExecution.progress().possibleRuns() < mExecution.route().maximumExecutions();
+    }
+
+    /** Returns whether the caller would send a request again that may run at most once. */
+    private boolean isUntruePromise() {
+        return mResponse.promisesNotRun() && !mExecution.route().allowsRetryAfterExecution();
     }
 
     private void countStartedUnlessStreaming() {
@@ -216,7 +239,10 @@
             mExecution.retryElsewhere(endpoint, failure.reason());
         } else {
             mExecution.progress().markPossiblyRun();
-            handleBrokenResponse(endpoint, failure.reason());
+            boolean isOutOfOrder = mExecution.progress().events().isOutOfOrder();
+            handleBrokenResponse(
+                    endpoint,
+                    isOutOfOrder ? "an event does not follow the last one" : failure.reason());
         }
     }
 
@@ -268,10 +294,9 @@
         long nowMillis = MonotonicClock.nowMillis();
         // A request that may have crashed its engine is not worth another one.
         if (mContext.promptGuard().isSound(mExecution.sharedParts())
-                && mExecution.mayRunAgain()
+                && mayRunAgain()
                 && mExecution.attemptBudget().tryAcquireRetry(nowMillis)) {
             mExecution.attemptBudget().recordAcquiredRetry();
-            mExecution.skipSeparatePrefillIfStreaming();
             mExecution.retryElsewhere(endpoint, reason);
         } else {
             mExecution.endWithFailure(Refusal.OUTCOME_UNKNOWN, reason);
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -75,6 +75,7 @@
                 new GatewayContext(
                         control,
                         connections,
+                        CallHistory.create(),
                         wireFormat,
                         state,
                         placement,
@@ -174,7 +175,6 @@
     }
 
     private void refuse(FrontExchange exchange, Refusal refusal, String identifier, String reason) {
-        mContext.metrics().countRefusal(refusal);
         EventLog.write(
                 "gateway",
                 "request.refused",
@@ -186,7 +186,7 @@
                 mContext.state().configuration().map(ServingConfiguration::version).orElse(0L),
                 "reason",
                 reason);
-        CallerResponses.refuse(mContext, exchange, refusal, TEMPORARY_REFUSAL_RETRY_AFTER_MILLIS);
+        CallerResponse.to(mContext, exchange).refuse(refusal, TEMPORARY_REFUSAL_RETRY_AFTER_MILLIS);
     }
 
     /**
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.gateway;
 
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.route.Route;
 
 /**
  * How far a request has come at its endpoints and at its caller.
@@ -9,16 +10,19 @@
  */
 final class RequestProgress {
     private final long mArrivedMillis = MonotonicClock.nowMillis();
-    private final EventAssembler mEvents = EventAssembler.create();
+    private final EventAssembler mEvents;
     private int mPossibleRuns;
     private boolean mMayHaveRun;
-    private boolean mStreaming;
 
-    private RequestProgress() {}
+    private RequestProgress(EventAssembler events) {
+        mEvents = events;
+    }
 
     /** Returns the progress of a request that arrives now. */
-    static RequestProgress start() {
-        return new RequestProgress();
+    static RequestProgress start(CallerRequest request, Route route) {
+        return new RequestProgress(
+                EventAssembler.after(
+                        request.lastEventIdentifier().filter(last -> route.resumable())));
     }
 
     long arrivedMillis() {
@@ -30,15 +34,6 @@
         return mEvents;
     }
 
-    /** Returns whether a streaming response to the caller has started. */
-    boolean isStreaming() {
-        return mStreaming;
-    }
-
-    void markStreaming() {
-        mStreaming = true;
-    }
-
     /** Returns whether an endpoint may have run the request. */
     boolean mayHaveRun() {
         return mMayHaveRun;
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -17,6 +17,7 @@
 import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.transport.CallFailure;
 import org.vanilladoor.transport.ConnectionPool;
+import org.vanilladoor.transport.ConnectionUse;
 import org.vanilladoor.transport.OutgoingCall;
 import org.vanilladoor.transport.OutgoingListener;
 
@@ -54,11 +55,17 @@
     /**
      * Sends a request.
      *
+     * @param address address of the peer
+     * @param use connections that may carry the call
      * @param body content to be sent as JSON, if any
      * @param timeoutMillis time-out for the complete response, including connecting
      */
     CompletableFuture<Response> send(
-            HostPort address, HttpRequest request, Optional<Object> body, long timeoutMillis) {
+            HostPort address,
+            ConnectionUse use,
+            HttpRequest request,
+            Optional<Object> body,
+            long timeoutMillis) {
         CompletableFuture<Response> result = new CompletableFuture<>();
         String description = request.getMethod() + " " + request.getRequestUri();
         if (!request.containsHeader(HttpHeaders.HOST)) {
@@ -71,7 +78,12 @@
                     ResponseCollector collector = new ResponseCollector(description, result);
                     OutgoingCall call =
                             mConnections.send(
-                                    address, CONNECT_TIMEOUT_MILLIS, request, bodyBytes, collector);
+                                    address,
+                                    use,
+                                    CONNECT_TIMEOUT_MILLIS,
+                                    request,
+                                    bodyBytes,
+                                    collector);
                     collector.mCall = call;
                     mControl.schedule(
                             Duration.ofMillis(timeoutMillis),
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -32,7 +32,8 @@
  * A pool of HTTP connections from this process to other processes.
  *
  * <p>Invariants: a connection carries one call at a time; an idle connection is reused only within
- * {@link #MAXIMUM_IDLE_MILLIS}; no call is retried. Confined to the control thread.
+ * {@link #MAXIMUM_IDLE_MILLIS}, and none of a peer that has lately mixed up its responses; no call
+ * is retried. Confined to the control thread.
  */
 public final class ConnectionPool implements AutoCloseable {
     /** Idle time after which a connection is closed; endpoints close idle connections later. */
@@ -62,6 +63,7 @@
     private final ControlLoop mControl;
     private final HttpAsyncRequester mRequester;
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
+    private final DistrustedPeers mDistrustedPeers = DistrustedPeers.create();
 
     private final Consumer<ConnectionAnomaly> mAnomalyListener;
 
@@ -122,6 +124,7 @@
      * Sends a request at most once, over an idle connection or a new one.
      *
      * @param address address of the peer
+     * @param use connections that may carry the call
      * @param connectTimeoutMillis maximum time to connect, in milliseconds
      * @param request request head, including the Host header
      * @param body request body; empty if there is none
@@ -129,12 +132,15 @@
      */
     public OutgoingCall send(
             HostPort address,
+            ConnectionUse use,
             long connectTimeoutMillis,
             HttpRequest request,
             byte[] body,
             OutgoingListener listener) {
-        OutgoingCall call = new OutgoingCall(mControl, this, request, body, listener);
-        PooledConnection idle = takeIdle(address);
+        OutgoingCall call =
+                new OutgoingCall(
+                        mControl, this, address, connectTimeoutMillis, request, body, listener);
+        PooledConnection idle = use.isReuseAllowed() ? takeIdle(address) : null;
         if (idle == null) {
             connect(address, connectTimeoutMillis, call);
         } else {
@@ -180,6 +186,23 @@
                             }
                         });
         mIdle.values().removeIf(Deque::isEmpty);
+        mDistrustedPeers.removeExpired(MonotonicClock.nowMillis());
+    }
+
+    /**
+     * Records that a peer mixed up its responses. For a while, no connection to it is reused.
+     *
+     * @param detail description of what was seen, for the log
+     */
+    public void recordAnomaly(HostPort peer, ConnectionAnomaly anomaly, String detail) {
+        EventLog.write(
+                "links", "response.mixed", "peer", peer, "anomaly", anomaly, "detail", detail);
+        mAnomalyListener.accept(anomaly);
+        mDistrustedPeers.add(peer, MonotonicClock.nowMillis());
+        Deque<PooledConnection> idle = mIdle.remove(peer);
+        if (idle != null) {
+            idle.forEach(this::discard);
+        }
     }
 
     /** Returns whether the pool can still open connections. */
@@ -193,7 +216,12 @@
     }
 
     void release(PooledConnection connection) {
-        connection.mIdleSinceMillis = MonotonicClock.nowMillis();
+        long nowMillis = MonotonicClock.nowMillis();
+        if (mDistrustedPeers.contains(connection.mAddress, nowMillis)) {
+            discard(connection);
+            return;
+        }
+        connection.mIdleSinceMillis = nowMillis;
         connection.mReused = true;
         mIdle.computeIfAbsent(connection.mAddress, address -> new ArrayDeque<>())
                 .addLast(connection);
@@ -217,7 +245,7 @@
         return null;
     }
 
-    private void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
+    void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
         PendingConnect pending = new PendingConnect(listener);
         ResponseBoundary boundary =
                 ResponseBoundary.create(
@@ -236,7 +264,8 @@
                                 mControl.execute(
                                         () ->
                                                 pending.complete(
-                                                        new PooledConnection(address, endpoint)));
+                                                        new PooledConnection(
+                                                                address, endpoint, boundary)));
                             }
 
                             @Override
@@ -267,12 +296,6 @@
                 });
     }
 
-    private void recordAnomaly(HostPort address, ConnectionAnomaly anomaly, String detail) {
-        EventLog.write(
-                "links", "response.mixed", "peer", address, "anomaly", anomaly, "detail", detail);
-        mAnomalyListener.accept(anomaly);
-    }
-
     /** Returns whether the peer's host answered that nothing listens at the port. */
     private static boolean isRefused(Exception failure) {
         return failure instanceof ConnectException
@@ -329,20 +352,28 @@
     static final class PooledConnection {
         private final HostPort mAddress;
         private final AsyncClientEndpoint mEndpoint;
+        private final ResponseBoundary mBoundary;
         private long mIdleSinceMillis;
         private boolean mReused;
 
-        private PooledConnection(HostPort address, AsyncClientEndpoint endpoint) {
+        private PooledConnection(
+                HostPort address, AsyncClientEndpoint endpoint, ResponseBoundary boundary) {
             mAddress = address;
             mEndpoint = endpoint;
+            mBoundary = boundary;
+        }
+
+        /** Returns which bytes belong to responses; for the I/O thread only. */
+        ResponseBoundary boundary() {
+            return mBoundary;
         }
 
         boolean isReused() {
             return mReused;
         }
 
-        void execute(OutgoingCall call) {
-            mEndpoint.execute(call, HttpCoreContext.create());
+        void execute(OutgoingExchange exchange) {
+            mEndpoint.execute(exchange, HttpCoreContext.create());
         }
     }
 }
