--- a/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
 
 /**
  * Knows which bytes on one connection belong to a response.
@@ -18,7 +19,6 @@
  * arrive otherwise close the connection. Confined to the I/O thread.
  */
 final class ResponseBoundary implements Http1StreamListener {
-    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
     private final Reporter mReporter;
     private final ByteBuffer mUnexpected = ByteBuffer.allocate(1);
     private IOSession mSession;
@@ -37,6 +37,10 @@
         mSession = session;
     }
 
+    void setSocketTimeout(Timeout timeout) {
+        mSession.setSocketTimeout(timeout);
+    }
+
     /**
      * Checks, before a request is sent, that the peer has sent nothing since its last response.
      *
@@ -54,6 +58,10 @@
         }
     }
 
+    boolean isResponseDue() {
+        return mResponseDue;
+    }
+
     /**
      * Checks that bytes which have arrived may begin a response.
      *
@@ -65,11 +73,9 @@
         }
     }
 
-    /** Reports a line that contains the start of a further response, and returns a description. */
-    String reportMergedHeads(String line) {
-        String quoted = line.substring(0, Math.min(line.length(), MAXIMUM_QUOTED_CHARACTERS));
-        mReporter.report(ConnectionAnomaly.MERGED_HEADS, quoted);
-        return "two heads are merged: " + quoted;
+    /** Reports a line that contains the start of a further response. */
+    void reportMergedHeads(String line) {
+        mReporter.report(ConnectionAnomaly.MERGED_HEADS, line);
     }
 
     void onHeadParsed(HttpResponse head) {
