--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -72,7 +72,7 @@
                                         : Optional.of(
                                                 toStoredObject(
                                                         name,
-                                                        requireObject(
+                                                        ObjectResponses.requireObject(
                                                                 response, platformName(name)))));
     }
 
@@ -98,7 +98,7 @@
                             if (isConflict) {
                                 throw new VersionConflictException(name);
                             }
-                            return requireWritten(
+                            return ObjectResponses.requireWritten(
                                     response, platformName(name), expectedVersion, "spec", spec);
                         });
     }
@@ -201,7 +201,7 @@
         body.set("status", status);
         String path = PATH + encode(kind) + "/" + encode(name) + "/status";
         return send("PUT", path, Optional.of(body), RESPONSE_TIMEOUT_MILLIS)
-                .thenAccept(response -> requireObject(response, name));
+                .thenAccept(response -> ObjectResponses.requireObject(response, name));
     }
 
     /**
@@ -215,9 +215,9 @@
         return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
                 .thenCompose(
                         response -> {
-                            JsonNode object = requireObject(response, name);
+                            JsonNode object = ObjectResponses.requireObject(response, name);
                             JsonNode status = object.path("status");
-                            long version = versionOf(object);
+                            long version = ObjectResponses.versionOf(object);
                             JsonNode newStatus =
                                     change.apply(
                                             status.isObject()
@@ -233,7 +233,7 @@
                                             RESPONSE_TIMEOUT_MILLIS)
                                     .thenAccept(
                                             written ->
-                                                    requireWritten(
+                                                    ObjectResponses.requireWritten(
                                                             written, name, version, "status",
                                                             newStatus));
                         });
@@ -320,70 +320,11 @@
                 LIST_FIELDS);
     }
 
-    /**
-     * Returns the object of a successful response.
-     *
-     * @throws StoreUnavailableException if the call failed, or the response has another object and
-     *     so belongs to another call
-     */
-    private static JsonNode requireObject(PlatformCalls.Response response, String name) {
-        JsonNode object = response.requireSuccess();
-        if (!object.path("meta").isObject()) {
-            throw new UnreadableResponseException(
-                    response.description() + ": the response is not an object");
-        }
-        boolean isOther = object.path("meta").has("name") && !nameOf(object).equals(name);
-        if (isOther || !object.path("meta").path("rev").isIntegralNumber()) {
-            throw new StoreUnavailableException(
-                    response.description() + ": the response belongs to another call");
-        }
-        return object;
-    }
-
-    /**
-     * Returns the version of an object that was written.
-     *
-     * @param field the part of the object that was replaced
-     * @throws StoreUnavailableException if the call failed, or the response shows the object as it
-     *     was before
-     */
-    private static long requireWritten(
-            PlatformCalls.Response response,
-            String name,
-            long expectedVersion,
-            String field,
-            JsonNode content) {
-        JsonNode object = requireObject(response, name);
-        long version = versionOf(object);
-        // A write that changes nothing leaves the version as it is.
-        boolean isUnchanged =
-                version == expectedVersion
-                        && object.path(field).equals(ObjectClient::compareNumbers, content);
-        if (version <= expectedVersion && !isUnchanged) {
-            throw new StoreUnavailableException(
-                    response.description() + ": the response belongs to an earlier call");
-        }
-        return version;
-    }
-
-    /** Returns 0 if both nodes are equal or the same number in different spellings. */
-    private static int compareNumbers(JsonNode left, JsonNode right) {
-        boolean isEqual =
-                left.isNumber() && right.isNumber()
-                        ? left.decimalValue().compareTo(right.decimalValue()) == 0
-                        : left.equals(right);
-        return isEqual ? 0 : 1;
-    }
-
-    private static long versionOf(JsonNode object) {
-        return object.path("meta").path("rev").asLong();
-    }
-
     private static StoredObject toStoredObject(String name, JsonNode object) {
         JsonNode spec = object.path("spec");
         // Without content, an object whose content can't be read stays present and unreadable.
         byte[] content = spec.isMissingNode() ? new byte[0] : Json.write(spec);
-        return new StoredObject(name, versionOf(object), content);
+        return new StoredObject(name, ObjectResponses.versionOf(object), content);
     }
 
     /** Encodes a name for use as a part of a path or query. */
--- a/src/test/java/org/vanilladoor/platform/FaultSoak.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoak.java
@@ -51,12 +51,14 @@
     private final List<SoakCaller> mCallers = new ArrayList<>();
     private final List<String> mValidKeys = new ArrayList<>(SoakRoute.KEYS);
     private final SplittableRandom mRandom;
+    private final SplittableRandom mByteRandom;
     private final PriorityQueue<ScheduledAction> mScheduledActions =
             new PriorityQueue<>(Comparator.comparingLong(ScheduledAction::atMillis));
     private int mConfigurationVersion = 1;
 
     private FaultSoak(long seed, Path directory) throws IOException {
         mRandom = new SplittableRandom(seed);
+        mByteRandom = new SplittableRandom(~seed);
         Files.createDirectories(directory);
         mPlatform = SoakPlatform.start(mLedger);
         writeConfiguration();
@@ -103,6 +105,19 @@
         }
     }
 
+    /** Lets all endpoints send faulty bytes for a while, and returns the violations found. */
+    static List<String> sendFaultyBytes(long seed, long faultMillis, Path directory)
+            throws IOException, InterruptedException {
+        try (FaultSoak soak = new FaultSoak(seed, directory)) {
+            return soak.run(
+                    () -> {
+                        soak.mEndpoints.forEach(endpoint -> endpoint.setFaulty(true));
+                        soak.runScheduledUntil(System.currentTimeMillis() + faultMillis);
+                        soak.mEndpoints.forEach(endpoint -> endpoint.setFaulty(false));
+                    });
+        }
+    }
+
     private List<String> run(long faultMillis) throws IOException, InterruptedException {
         return run(() -> injectFaultsFor(faultMillis));
     }
@@ -112,11 +127,25 @@
         while (System.currentTimeMillis() < deadline) {
             Fault fault = Fault.values()[mRandom.nextInt(Fault.values().length)];
             fault.inject(this);
+            sendFaultyBytesNowAndThen();
             runScheduledUntil(System.currentTimeMillis() + 100 + mRandom.nextInt(500));
         }
         runScheduledUntil(Long.MAX_VALUE);
     }
 
+    /** Uses random numbers of its own, so that each seed keeps its sequence of other faults. */
+    private void sendFaultyBytesNowAndThen() {
+        if (mByteRandom.nextInt(Fault.values().length) > 0) {
+            return;
+        }
+        SoakEndpoint endpoint = mEndpoints.get(mByteRandom.nextInt(mEndpoints.size()));
+        endpoint.setFaulty(true);
+        mScheduledActions.add(
+                new ScheduledAction(
+                        System.currentTimeMillis() + 300 + mByteRandom.nextInt(2_500),
+                        () -> endpoint.setFaulty(false)));
+    }
+
     private List<String> run(Action faults) throws IOException, InterruptedException {
         List<Thread> threads = mCallers.stream().map(Thread::new).toList();
         threads.forEach(Thread::start);
@@ -196,7 +225,7 @@
                     .put("service", "app")
                     .put("type", route.type())
                     .put("attempts", route.maximumRuns())
-                    .put("timeout_ms", 2_000)
+                    .put("timeout_ms", SoakRoute.TIMEOUT_MILLIS)
                     .put("slo_ms", 200)
                     .put("public", route.isPublic());
         }
--- a/src/test/java/org/vanilladoor/platform/FaultyLink.java
+++ b/src/test/java/org/vanilladoor/platform/FaultyLink.java
@@ -109,7 +109,8 @@
             while (count >= 0) {
                 dropping |= mState == State.SILENT || mState == droppingState;
                 dropping |= mSilenced.contains(from);
-                if (mState == State.SLOW) {
+                // A sender without end must not keep a processor busy while its bytes are dropped.
+                if (mState == State.SLOW || dropping) {
                     Thread.sleep(SLOW_DELAY_MILLIS);
                 }
                 if (!dropping) {
@@ -124,6 +125,7 @@
         } catch (IOException e) {
             if (!dropping) {
                 reset(to);
+                reset(from);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
