Cancel timers when what they wait for has ended

Cause: a request's time limit was a task that nobody cancelled. The control loop held it, and with it the request, its caller's exchange and the body, until the deadline, however early the request was answered. The same held for prefill calls, releases of a KV cache, calls to the platform and attempts to connect, whose timer holds the call and its body.

ControlLoop.schedule returns a timer that can be cancelled, and the executor drops cancelled tasks at once. Each holder cancels where its end is recorded: CallerResponse in its only end, EndpointExchange in tryEnd, PlatformCalls with the result, ConnectionPool with the first outcome. A time limit is set through the object that ends, so a request can't end without ending its timer. Timers of repeated work (polls, retries of reports, role changes) hold no request and are unchanged.

--- a/src/main/java/org/vanilladoor/gateway/CallerResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/CallerResponse.java
@@ -1,8 +1,10 @@
 package org.vanilladoor.gateway;
 
+import java.time.Duration;
 import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
+import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.transport.FrontExchange;
 
 /**
@@ -10,13 +12,15 @@
  *
  * <p>Invariants: a response ends exactly once. Before its first event it may end with any whole
  * response; after that only more events follow, until the stream is completed or cut off. An end
- * that is no longer possible becomes a cut, so that the caller sees one in any case. A stopping
- * process asks its callers to close their connections. Confined to the control thread.
+ * that is no longer possible becomes a cut, so that the caller sees one in any case. Its time limit
+ * ends with it. A stopping process asks its callers to close their connections. Confined to the
+ * control thread.
  */
 final class CallerResponse {
     private final GatewayContext mContext;
     private final FrontExchange mExchange;
     private State mState = State.NOT_STARTED;
+    private ControlLoop.Timer mTimeLimit = ControlLoop.Timer.NONE;
 
     private CallerResponse(GatewayContext context, FrontExchange exchange) {
         mContext = context;
@@ -28,6 +32,11 @@
         return new CallerResponse(context, exchange);
     }
 
+    /** Sets the only time limit of the response, and what runs if it has not ended by then. */
+    void limitTime(long millis, Runnable onTimeout) {
+        mTimeLimit = mContext.control().schedule(Duration.ofMillis(millis), onTimeout);
+    }
+
     /** Sets an action to run if the caller disconnects before the response has been sent. */
     void onDisconnect(Runnable action) {
         mExchange.onDisconnect(action);
@@ -103,6 +112,7 @@
     private End end(End end, Runnable sending) {
         requireNotEnded();
         mState = State.ENDED;
+        mTimeLimit.cancel();
         sending.run();
         return end;
     }
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.apache.hc.core5.http.HttpResponse;
+import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.transport.CallFailure;
@@ -15,7 +16,8 @@
  *
  * <p>Invariants: a response that doesn't carry the identifier of this very attempt, or whose head
  * contradicts itself, is neither an answer nor a refusal: the outcome of the call is unknown, and
- * the connection is closed. The load is decremented exactly once. Confined to the control thread.
+ * the connection is closed. The load is decremented exactly once. Its time limit ends with it.
+ * Confined to the control thread.
  */
 final class EndpointExchange implements OutgoingListener {
     /** Time limit of the call that releases a KV cache. */
@@ -26,6 +28,7 @@
     private final EndpointCall mCall;
     private final Listener mListener;
     private OutgoingCall mOutgoingCall;
+    private ControlLoop.Timer mTimeLimit = ControlLoop.Timer.NONE;
     private boolean mEnded;
 
     private EndpointExchange(
@@ -78,8 +81,11 @@
                                 new byte[0],
                                 listener);
         listener.mRelease = release;
-        context.control()
-                .schedule(Duration.ofMillis(RELEASE_TIMEOUT_MILLIS), listener::abandonUnlessDone);
+        listener.mTimeLimit =
+                context.control()
+                        .schedule(
+                                Duration.ofMillis(RELEASE_TIMEOUT_MILLIS),
+                                listener::abandonUnlessDone);
     }
 
     Endpoint endpoint() {
@@ -94,6 +100,13 @@
         return mOutgoingCall.isSent();
     }
 
+    /** Sets the only time limit of the call, and what runs if it has not ended by then. */
+    void limitTime(long millis, Runnable onTimeout) {
+        if (!mEnded) {
+            mTimeLimit = mContext.control().schedule(Duration.ofMillis(millis), onTimeout);
+        }
+    }
+
     /** Abandons the call; the listener receives no further notification. */
     void abandon() {
         if (tryEnd()) {
@@ -167,6 +180,7 @@
             return false;
         }
         mEnded = true;
+        mTimeLimit.cancel();
         mContext.placement().recordEnd(mCall.endpoint());
         adjustRunningCount(-1);
         return true;
@@ -204,6 +218,7 @@
     private static final class ReleaseListener implements OutgoingListener {
         private final WireFormat mWireFormat;
         private OutgoingCall mRelease;
+        private ControlLoop.Timer mTimeLimit = ControlLoop.Timer.NONE;
         private boolean mDone;
 
         ReleaseListener(WireFormat wireFormat) {
@@ -224,20 +239,25 @@
 
         @Override
         public void onComplete() {
-            mDone = true;
+            end();
         }
 
         @Override
         public void onFailure(CallFailure failure) {
             // The endpoint releases the KV cache after its own time limit.
-            mDone = true;
+            end();
         }
 
         void abandonUnlessDone() {
             if (!mDone) {
-                mDone = true;
+                end();
                 mRelease.abandon();
             }
         }
+
+        private void end() {
+            mDone = true;
+            mTimeLimit.cancel();
+        }
     }
 }
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -1,6 +1,5 @@
 package org.vanilladoor.gateway;
 
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -95,10 +94,7 @@
         long nowMillis = MonotonicClock.nowMillis();
         mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
         mResponse.onDisconnect(this::onCallerDisconnected);
-        mContext.control()
-                .schedule(
-                        Duration.ofMillis(Math.max(0, mDeadlineMillis - nowMillis)),
-                        this::onTimeout);
+        mResponse.limitTime(Math.max(0, mDeadlineMillis - nowMillis), this::onTimeout);
         proceed();
     }
 
@@ -191,7 +187,7 @@
         send(prefillEngine.get(), EndpointCall.Stage.READ_PROMPT);
         EndpointExchange call = mCall;
         long timeoutMillis = PREFILL_TIMEOUT_OBJECTIVES * mRoute.objectiveMillis();
-        mContext.control().schedule(Duration.ofMillis(timeoutMillis), () -> onPrefillTimeout(call));
+        call.limitTime(timeoutMillis, () -> onPrefillTimeout(call));
         return true;
     }
 
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -123,16 +123,18 @@
                                     bodyBytes,
                                     collector);
                     collector.mCall = call;
-                    mControl.schedule(
-                            Duration.ofMillis(timeoutMillis),
-                            () -> {
-                                if (!result.isDone()) {
-                                    call.abandon();
-                                    result.completeExceptionally(
-                                            new StoreUnavailableException(
-                                                    "no response to " + description));
-                                }
-                            });
+                    ControlLoop.Timer timeLimit =
+                            mControl.schedule(
+                                    Duration.ofMillis(timeoutMillis),
+                                    () -> {
+                                        if (!result.isDone()) {
+                                            call.abandon();
+                                            result.completeExceptionally(
+                                                    new StoreUnavailableException(
+                                                            "no response to " + description));
+                                        }
+                                    });
+                    result.whenComplete((response, failure) -> timeLimit.cancel());
                 });
         return result;
     }
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -286,15 +286,17 @@
                                                         "connecting was cancelled"));
                             }
                         });
-        mControl.schedule(
-                Duration.ofMillis(timeoutMillis),
-                () -> {
-                    if (!future.isDone()) {
-                        future.cancel(true);
-                        pending.fail(
-                                Reachability.UNKNOWN, "no connection in " + timeoutMillis + " ms");
-                    }
-                });
+        pending.mTimeLimit =
+                mControl.schedule(
+                        Duration.ofMillis(timeoutMillis),
+                        () -> {
+                            if (!future.isDone()) {
+                                future.cancel(true);
+                                pending.fail(
+                                        Reachability.UNKNOWN,
+                                        "no connection in " + timeoutMillis + " ms");
+                            }
+                        });
     }
 
     /** Returns whether the peer's host answered that nothing listens at the port. */
@@ -322,10 +324,11 @@
 
     /**
      * An attempt to connect. The first outcome counts; a connection that is made after it is kept
-     * for a later call. Confined to the control thread.
+     * for a later call. The time limit ends with the first outcome. Confined to the control thread.
      */
     private final class PendingConnect {
         private final ConnectListener mListener;
+        private ControlLoop.Timer mTimeLimit = ControlLoop.Timer.NONE;
         private boolean mDone;
 
         PendingConnect(ConnectListener listener) {
@@ -338,12 +341,14 @@
                 return;
             }
             mDone = true;
+            mTimeLimit.cancel();
             mListener.onConnected(connection);
         }
 
         void fail(Reachability reachability, String reason) {
             if (!mDone) {
                 mDone = true;
+                mTimeLimit.cancel();
                 mListener.onFailed(reachability, reason);
             }
         }
--- a/src/test/java/org/vanilladoor/common/ControlLoopTests.java
+++ b/src/test/java/org/vanilladoor/common/ControlLoopTests.java
@@ -8,7 +8,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
-/** Guards against an unexpected error that ends a task on which the whole process depends. */
+/**
+ * Guards against an unexpected error that ends a task on which the whole process depends, and
+ * against timers that hold on to what has ended.
+ */
 class ControlLoopTests {
     private static final long WAIT_SECONDS = 20;
 
@@ -28,4 +31,21 @@
             assertThat(repeated.await(WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
         }
     }
+
+    @Test
+    void aCancelledTimerIsDroppedAtOnce() {
+        try (ControlLoop control = ControlLoop.start("control")) {
+            ControlLoop.Timer timer = control.schedule(Duration.ofHours(1), () -> {});
+            assertThat(control.pendingTasks()).isEqualTo(1);
+            timer.cancel();
+            assertThat(control.pendingTasks()).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void aTimerOfAClosedLoopCanBeCancelled() {
+        ControlLoop control = ControlLoop.start("control");
+        control.close();
+        control.schedule(Duration.ZERO, () -> {}).cancel();
+    }
 }
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -47,8 +47,8 @@
 /** Runs a gateway on real connections, with helpers that act as its callers and endpoints. */
 abstract class GatewayFixture {
     static final long TIMEOUT_MILLIS = 1_200;
-    private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    final ControlLoop mControl = ControlLoop.start("control");
+    final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
     final ServingState mState = ServingState.create();
     private final EndpointDirectory mDirectory = EndpointDirectory.create();
     final List<String> mStartedTeams = new CopyOnWriteArrayList<>();
