Blame the part of a prompt that was answered least for a crash

Callers whose usual first part had been quiet for 10 s were all refused (503, Retry-After 60) once three engines had crashed on another part of their prompts, and a crashing part behind 33 others was never found. Cause: only answers of the last ten seconds spoke for a part, so that each part in the crashes got the same evidence and no request could clear it for half an hour; and parts beyond the 32nd were not looked at.

Now each VM counts answers by hash, however old, reports carry the count of each suspect, and a quarantined part explains its crashes for the parts that were answered more. All parts of a request are looked up, and 256 of a crashed one are kept. A part in doubt is tested after 15 s, three times at most. The verdict depends on the joint evidence alone, so that VMs agree.

Open: only the holder of the fleet lease tests a part, so that in a large fleet a rare part in doubt may wait for longer than a minute, and a part that was never answered and crashed alone still waits for half an hour.

--- a/src/main/java/org/vanilladoor/quarantine/CrashReport.java
+++ b/src/main/java/org/vanilladoor/quarantine/CrashReport.java
@@ -23,12 +23,18 @@
      * @param cleared those of them that later answers to requests with the part have outweighed
      * @param trials identifiers of the requests that were let through to find out whether the part
      *     still crashes engines
+     * @param answers about how many requests with the part were answered on one VM before
      */
-    public record Part(Set<String> crashes, Set<String> cleared, Set<String> trials) {
+    public record Part(Set<String> crashes, Set<String> cleared, Set<String> trials, int answers) {
         public Part {
             crashes = crashes == null ? Set.of() : Set.copyOf(crashes);
             cleared = cleared == null ? Set.of() : Set.copyOf(cleared);
             trials = trials == null ? Set.of() : Set.copyOf(trials);
         }
+
+        /** Returns the evidence about a part that was never answered before. */
+        public Part(Set<String> crashes, Set<String> cleared, Set<String> trials) {
+            this(crashes, cleared, trials, 0);
+        }
     }
 }
--- a/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
@@ -1,12 +1,16 @@
 package org.vanilladoor.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /**
@@ -14,14 +18,18 @@
  * known as queries of death.
  *
  * <p>When an engine crashes, the parts of each request that it was about to answer become suspect.
- * A part is quarantined once {@link #CRASHES_TO_QUARANTINE} engines have crashed with it and no
- * request with it was answered since. An answer clears the crashes known by then, and so does one
- * within {@link #RECENT_ANSWER_MILLIS} before the crash: a part that is common to many requests is
- * answered all the time, while the one that crashes engines never is. The evidence is the union of
- * what all VMs have observed, whatever the order in which it arrives.
+ * A part is quarantined once {@link #CRASHES_TO_QUARANTINE} engines have crashed with it, no
+ * request with it was answered since, and no quarantined part that was answered less explains the
+ * crashes. An answer clears the crashes known by then, and so does one within {@link
+ * #RECENT_ANSWER_MILLIS} before the crash: a part that is common to many requests is answered all
+ * the time, while the one that crashes engines never is. The evidence is the union of what all VMs
+ * have observed, whatever the order in which it arrives.
  *
- * <p>A quarantined part gets another chance after a long time: one VM may let a request through, if
- * it has announced that to all VMs before, and at most {@link #MAXIMUM_TRIALS} times altogether.
+ * <p>A quarantined part gets another chance: one VM may let a request through, if it has announced
+ * that to all VMs before. It comes soon for a part that may be held back by mistake, since it was
+ * answered before or shares crashes with another quarantined part, and at most {@link
+ * #MAXIMUM_TRIALS_IN_DOUBT} times altogether; after a long time for others, {@link #MAXIMUM_TRIALS}
+ * times.
  *
  * <p>Invariants: the verdict depends only on the parts, never on the caller, the key or the rest of
  * the prompt; memory is bounded however many parts callers make up. Does no I/O; time is passed in
@@ -37,6 +45,12 @@
     /** Time without new evidence after which a quarantined part may be tested again. */
     public static final long TRIAL_INTERVAL_MILLIS = 1_800_000;
 
+    /** The same for a part that may be held back by mistake. */
+    static final int MAXIMUM_TRIALS_IN_DOUBT = 3;
+
+    /** Time without new evidence after which such a part may be tested. */
+    static final long TRIAL_INTERVAL_IN_DOUBT_MILLIS = 15_000;
+
     /** Time for which an answer vouches for the parts of its prompt. */
     static final long RECENT_ANSWER_MILLIS = 10_000;
 
@@ -44,15 +58,17 @@
     private static final long SUSPICION_MILLIS = 3_600_000;
 
     /** Maximum number of parts under suspicion. */
-    static final int MAXIMUM_SUSPECTS = 256;
+    static final int MAXIMUM_SUSPECTS = 512;
 
-    /** Maximum number of parts of one request that are examined. */
-    private static final int MAXIMUM_PARTS_PER_REQUEST = 32;
+    /** Maximum number of parts of one crashed request, so that two requests' parts are kept. */
+    static final int MAXIMUM_PARTS_PER_CRASH = MAXIMUM_SUSPECTS / 2;
 
     /** Maximum number of parts whose last answer is remembered. */
     private static final int MAXIMUM_ANSWERED_PARTS = 4_096;
 
     private final Map<String, PartEvidence> mSuspects = new HashMap<>();
+    private final Map<String, Integer> mUnexplainedCrashes = new HashMap<>();
+    private final AnswerCounts mAnswerCounts = AnswerCounts.create();
     private final Map<String, Long> mAnsweredMillis =
             new LinkedHashMap<>(MAXIMUM_ANSWERED_PARTS, 0.75f, true) {
                 @Override
@@ -73,9 +89,7 @@
     public PromptVerdict verdict(Collection<String> parts) {
         int mostCrashes =
                 parts.stream()
-                        .limit(MAXIMUM_PARTS_PER_REQUEST)
-                        .map(mSuspects::get)
-                        .mapToInt(evidence -> evidence == null ? 0 : evidence.crashes())
+                        .mapToInt(part -> mUnexplainedCrashes.getOrDefault(part, 0))
                         .max()
                         .orElse(0);
         if (mostCrashes >= CRASHES_TO_QUARANTINE) {
@@ -97,33 +111,97 @@
      */
     public void recordCrash(String engine, Collection<String> parts, long nowMillis) {
         parts.stream()
-                .limit(MAXIMUM_PARTS_PER_REQUEST)
+                .distinct()
                 .filter(part -> !isRecentlyAnswered(part, nowMillis))
-                .forEach(part -> noteChange(evidence(part).addCrash(engine, nowMillis)));
+                .sorted(mostSuspiciousFirst())
+                .limit(MAXIMUM_PARTS_PER_CRASH)
+                .forEach(part -> addCrash(part, engine, nowMillis));
         evictSuspects(nowMillis);
+        explainCrashes();
+    }
+
+    private Comparator<String> mostSuspiciousFirst() {
+        return Comparator.<String>comparingInt(part -> mSuspects.containsKey(part) ? 0 : 1)
+                .thenComparingInt(mAnswerCounts::count);
+    }
+
+    private void addCrash(String part, String engine, long nowMillis) {
+        PartEvidence evidence = evidence(part);
+        noteChange(evidence.addCrash(engine, nowMillis));
+        noteChange(evidence.noteAnswers(mAnswerCounts.count(part)));
     }
 
     /** Records that an engine has answered a request and survived it. */
     public void recordAnswer(Collection<String> parts, long nowMillis) {
         for (String part : parts) {
             mAnsweredMillis.put(part, nowMillis);
-            PartEvidence evidence = mSuspects.get(part);
-            noteChange(evidence != null && evidence.clear(nowMillis));
+            mAnswerCounts.add(part);
+            if (mSuspects.containsKey(part)) {
+                clear(part, nowMillis);
+            }
+        }
+    }
+
+    private void clear(String part, long nowMillis) {
+        PartEvidence evidence = mSuspects.get(part);
+        Set<String> crashes = new HashSet<>();
+        evidence.collectCrashes(crashes);
+        if (!evidence.clear(nowMillis)) {
+            return;
         }
+        noteChange(true);
+        if (isQuarantined(part)) {
+            // The crashes that it explained must not come back to the parts beside it.
+            mSuspects.values().stream()
+                    .filter(other -> other.answers() > evidence.answers())
+                    .forEach(other -> noteChange(other.clear(crashes, nowMillis)));
+        }
+        explainCrashes();
     }
 
     /** Adds what another VM, or an earlier process of this one, has observed. */
     public void merge(CrashReport report, long nowMillis) {
-        report.parts()
-                .forEach(
-                        (part, reported) -> {
-                            PartEvidence evidence = evidence(part);
-                            evidence.merge(reported, nowMillis);
-                            noteChange(
-                                    isRecentlyAnswered(part, nowMillis)
-                                            && evidence.clear(nowMillis));
-                        });
+        long revision = mRevision;
+        boolean isChanged = false;
+        for (Map.Entry<String, CrashReport.Part> reported : report.parts().entrySet()) {
+            String part = reported.getKey();
+            PartEvidence evidence = evidence(part);
+            isChanged |= evidence.merge(reported.getValue(), nowMillis);
+            noteChange(evidence.noteAnswers(mAnswerCounts.count(part)));
+            noteChange(isRecentlyAnswered(part, nowMillis) && evidence.clear(nowMillis));
+        }
         evictSuspects(nowMillis);
+        if (isChanged || mRevision != revision) {
+            explainCrashes();
+        }
+    }
+
+    /**
+     * Attributes each crash to the quarantined parts that were answered least.
+     *
+     * <p>Depends on nothing but the evidence, so that VMs with the same evidence agree.
+     */
+    private void explainCrashes() {
+        mUnexplainedCrashes.clear();
+        SortedMap<Integer, List<String>> partsByAnswers = new TreeMap<>();
+        mSuspects.forEach(
+                (part, evidence) ->
+                        partsByAnswers
+                                .computeIfAbsent(evidence.answers(), key -> new ArrayList<>())
+                                .add(part));
+        Set<String> explained = new HashSet<>();
+        for (List<String> parts : partsByAnswers.values()) {
+            for (String part : parts) {
+                mUnexplainedCrashes.put(part, mSuspects.get(part).crashesBut(explained));
+            }
+            parts.stream()
+                    .filter(this::isQuarantined)
+                    .forEach(part -> mSuspects.get(part).collectCrashes(explained));
+        }
+    }
+
+    private boolean isQuarantined(String part) {
+        return mUnexplainedCrashes.getOrDefault(part, 0) >= CRASHES_TO_QUARANTINE;
     }
 
     /**
@@ -131,10 +209,7 @@
      * other part of the prompt is quarantined.
      */
     public Optional<String> partDueForTrial(Collection<String> parts, long nowMillis) {
-        List<String> quarantined =
-                parts.stream()
-                        .filter(part -> verdict(List.of(part)) == PromptVerdict.QUARANTINED)
-                        .toList();
+        List<String> quarantined = parts.stream().filter(this::isQuarantined).distinct().toList();
         return quarantined.size() == 1
                 ? Optional.of(quarantined.get(0)).filter(part -> isDueForTrial(part, nowMillis))
                 : Optional.empty();
@@ -142,8 +217,21 @@
 
     private boolean isDueForTrial(String part, long nowMillis) {
         PartEvidence evidence = mSuspects.get(part);
-        return evidence.trials() < MAXIMUM_TRIALS
-                && nowMillis - evidence.changedMillis() >= TRIAL_INTERVAL_MILLIS;
+        long quietMillis = nowMillis - evidence.changedMillis();
+        return isInDoubt(part)
+                ? evidence.trials() < MAXIMUM_TRIALS_IN_DOUBT
+                        && quietMillis >= TRIAL_INTERVAL_IN_DOUBT_MILLIS
+                : evidence.trials() < MAXIMUM_TRIALS && quietMillis >= TRIAL_INTERVAL_MILLIS;
+    }
+
+    /** Returns whether a quarantined part may be held back for the crashes of another one. */
+    private boolean isInDoubt(String part) {
+        PartEvidence evidence = mSuspects.get(part);
+        Set<String> others = new HashSet<>();
+        mSuspects.keySet().stream()
+                .filter(other -> !other.equals(part) && isQuarantined(other))
+                .forEach(other -> mSuspects.get(other).collectCrashes(others));
+        return evidence.answers() > 0 || evidence.crashesBut(others) < CRASHES_TO_QUARANTINE;
     }
 
     /** Announces a trial of a part; it must be published before the request is let through. */
@@ -165,9 +253,7 @@
 
     /** Returns the number of quarantined parts. */
     public long quarantinedParts() {
-        return mSuspects.values().stream()
-                .filter(evidence -> evidence.crashes() >= CRASHES_TO_QUARANTINE)
-                .count();
+        return mSuspects.keySet().stream().filter(this::isQuarantined).count();
     }
 
     private boolean isRecentlyAnswered(String part, long nowMillis) {
