--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -55,6 +55,9 @@
     final List<ScriptedEndpoint> mEndpoints = new ArrayList<>();
     FrontServer mServer;
 
+    /** Whether the configuration is confirmed before each request, as by a store that answers. */
+    boolean mConfirmsConfiguration = true;
+
     @BeforeEach
     void start() throws IOException {
         mState.applyIfNewer(configuration(1));
@@ -180,6 +183,9 @@
      * @param watcher receives the response so far after each byte
      */
     String exchange(byte[] request, Consumer<String> watcher) throws IOException {
+        if (mConfirmsConfiguration) {
+            mState.confirmNewest(ExpiryClock.nowMillis());
+        }
         try (Socket socket = new Socket("127.0.0.1", mServer.address().port())) {
             socket.getOutputStream().write(request);
             // Long enough for every response; ends the wait on a connection that is kept open.
--- a/src/test/java/org/vanilladoor/platform/GatewayTests.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayTests.java
@@ -49,6 +49,7 @@
         assertThat(call("GET", "/nowhere/x", "")).startsWith("HTTP/1.1 404");
         ServingState state = mState;
         state.applyIfNewer(configuration(2));
+        mConfirmsConfiguration = false;
         waitUntil(() -> mState.confirmationAgeMillis() > 2_600);
         assertThat(callWithKey("GET", "/safe/x", "", "wrong")).startsWith("HTTP/1.1 503");
         assertThat(call("GET", "/nowhere/x", "")).startsWith("HTTP/1.1 503");
@@ -58,6 +59,7 @@
     void aKeyIsRefusedOnceTheLastConfirmationIsTooOld() throws Exception {
         endpoint("e", request -> ScriptedEndpoint.response(request, 200, "", "hi"));
         assertThat(call("GET", "/safe/x", "")).startsWith("HTTP/1.1 200");
+        mConfirmsConfiguration = false;
         waitUntil(() -> mState.confirmationAgeMillis() > 4_100);
         assertThat(call("GET", "/safe/x", "")).startsWith("HTTP/1.1 503");
         assertThat(call("GET", "/open/x", "")).startsWith("HTTP/1.1 200");
