Heed endpoints that say that they are leaving, or want no requests for a while

A VM keeps both notices for itself in Placement: nothing more for a process that said that it leaves, until it has started again; nothing during a pause, no separate prefill and no release of a KV cache either. If only such endpoints are left, callers are refused at once and told when to come back.

--- a/src/main/java/org/vanilladoor/fleet/EndpointLoad.java
+++ b/src/main/java/org/vanilladoor/fleet/EndpointLoad.java
@@ -1,7 +1,9 @@
 package org.vanilladoor.fleet;
 
+import java.util.OptionalLong;
+
 /**
- * The load and the recent failures of one endpoint, as known to this VM.
+ * The load, the recent failures and the notices of one endpoint, as known to this VM.
  *
  * <p>Invariant: the number of this VM's requests is exact; the number of other VMs' requests is an
  * estimate that decays exponentially, as does the number of failures. Time is passed in as an
@@ -21,6 +23,8 @@
     private long mFailuresUpdatedMillis;
     private long mAvoidUntilMillis = Long.MIN_VALUE;
     private long mExcludeUntilMillis = Long.MIN_VALUE;
+    private long mPausedUntilMillis = Long.MIN_VALUE;
+    private OptionalLong mLeavingStartMillis = OptionalLong.empty();
 
     void recordStart() {
         mOwnRequests++;
@@ -52,6 +56,15 @@
         mExcludeUntilMillis = Math.max(mExcludeUntilMillis, nowMillis + durationMillis);
     }
 
+    void pauseFor(long nowMillis, long durationMillis) {
+        mPausedUntilMillis = Math.max(mPausedUntilMillis, nowMillis + durationMillis);
+    }
+
+    /** Records that the process that started at the given time is leaving. */
+    void recordLeaving(long startMillis) {
+        mLeavingStartMillis = OptionalLong.of(startMillis);
+    }
+
     void recordSuccess(long nowMillis) {
         mFailures = failures(nowMillis) / FAILURE_DIVISOR_ON_SUCCESS;
         mFailuresUpdatedMillis = nowMillis;
@@ -65,6 +78,15 @@
         return nowMillis < mExcludeUntilMillis;
     }
 
+    /** Returns the time until the endpoint wants requests again, or 0. */
+    long pauseMillis(long nowMillis) {
+        return nowMillis < mPausedUntilMillis ? mPausedUntilMillis - nowMillis : 0;
+    }
+
+    boolean isLeaving(long startMillis) {
+        return mLeavingStartMillis.equals(OptionalLong.of(startMillis));
+    }
+
     boolean isAvoided(long nowMillis) {
         return nowMillis < mAvoidUntilMillis;
     }
--- a/src/main/java/org/vanilladoor/fleet/Placement.java
+++ b/src/main/java/org/vanilladoor/fleet/Placement.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
+import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.RendezvousRanking;
 import org.vanilladoor.engine.EngineRole;
 
@@ -18,8 +19,8 @@
  * <p>Rendezvous hashing makes all VMs send the prefill of prompts with the same shared prefix to
  * the same engine, without coordination, while that engine is below its limit. All other calls go
  * to the least loaded endpoint, preferably in the same failure domain. Invariant: an endpoint that
- * is leaving or changing its role is never chosen. Does no I/O; time is passed in as an argument.
- * Confined to the control thread.
+ * is leaving, by its entry or by its own word, is changing its role or wants no requests is never
+ * chosen. Does no I/O; time is passed in as an argument. Confined to the control thread.
  */
 public final class Placement {
     /** Time for which an unreachable endpoint is avoided, in milliseconds. */
@@ -88,15 +89,26 @@
     }
 
     /**
-     * Returns the time until an endpoint of the service has room within its limit, or empty if no
-     * endpoint is kept back by its limit alone.
+     * Returns the time until an endpoint of the service has room within its limit and wants
+     * requests again, or empty if no endpoint is kept back by that alone.
      */
     public OptionalLong millisUntilRoom(String service, Set<String> excluded, long nowMillis) {
         return reachableRunCandidates(service, excluded, nowMillis)
-                .mapToLong(endpoint -> mLimits.millisUntilRoom(endpoint, nowMillis))
+                .mapToLong(endpoint -> millisUntilRoom(endpoint, nowMillis))
                 .min();
     }
 
+    private long millisUntilRoom(Endpoint endpoint, long nowMillis) {
+        return Math.max(
+                mLimits.millisUntilRoom(endpoint, nowMillis),
+                load(endpoint.name()).pauseMillis(nowMillis));
+    }
+
+    /** Returns whether an endpoint wants requests of any kind from this VM now. */
+    public boolean wantsRequests(Endpoint endpoint, long nowMillis) {
+        return load(endpoint.name()).pauseMillis(nowMillis) == 0;
+    }
+
     /** Returns whether {@link #chooseEndpoint} would find an endpoint. */
     public boolean hasEndpoint(String service, Set<String> excluded, long nowMillis) {
         return !runCandidates(service, excluded, nowMillis).isEmpty();
@@ -121,7 +133,7 @@
             Endpoint engine = byName.get(ranked.get(rank));
             if (!load.isAvoided(nowMillis)
                     && load.ownRequests() < limit
-                    && mLimits.hasRoom(engine, nowMillis)) {
+                    && millisUntilRoom(engine, nowMillis) == 0) {
                 return Optional.of(engine);
             }
         }
@@ -149,7 +161,8 @@
 
     /** Returns whether an endpoint is leaving, or has left, so that its end is no crash. */
     public boolean isLeaving(Endpoint endpoint) {
-        return mDirectory.find(endpoint.name()).map(Endpoint::leaving).orElse(true);
+        return hasSaidThatItLeaves(endpoint)
+                || mDirectory.find(endpoint.name()).map(Endpoint::leaving).orElse(true);
     }
 
     /** Records a request of any kind to an endpoint, which counts against its limit. */
@@ -162,6 +175,29 @@
         mLimits.recordStatement(endpoint, stated, nowMillis);
     }
 
+    /** Records what a response of an endpoint says about further requests. */
+    public void recordNotice(Endpoint endpoint, EndpointNotice notice, long nowMillis) {
+        EndpointLoad load = load(endpoint.name());
+        if (notice.leaving() && !hasSaidThatItLeaves(endpoint)) {
+            load.recordLeaving(endpoint.startMillis());
+            EventLog.write("endpoints", "leaving.stated", "endpoint", endpoint.name());
+        }
+        if (notice.pauseMillis() > 0) {
+            load.pauseFor(nowMillis, notice.pauseMillis());
+            EventLog.write(
+                    "endpoints",
+                    "pause.stated",
+                    "endpoint",
+                    endpoint.name(),
+                    "millis",
+                    notice.pauseMillis());
+        }
+    }
+
+    private boolean hasSaidThatItLeaves(Endpoint endpoint) {
+        return load(endpoint.name()).isLeaving(endpoint.startMillis());
+    }
+
     /** Records that a call to an endpoint has started. */
     public void recordStart(Endpoint endpoint) {
         load(endpoint.name()).recordStart();
@@ -241,7 +277,7 @@
 
     private List<Endpoint> runCandidates(String service, Set<String> excluded, long nowMillis) {
         return reachableRunCandidates(service, excluded, nowMillis)
-                .filter(endpoint -> mLimits.hasRoom(endpoint, nowMillis))
+                .filter(endpoint -> millisUntilRoom(endpoint, nowMillis) == 0)
                 .toList();
     }
 
@@ -254,6 +290,7 @@
     private List<Endpoint> candidates(String service, Set<EngineRole> roles, Set<String> excluded) {
         return mDirectory.findByService(service).stream()
                 .filter(Endpoint::isUsable)
+                .filter(endpoint -> !hasSaidThatItLeaves(endpoint))
                 .filter(endpoint -> roles.contains(endpoint.role()))
                 .filter(endpoint -> !excluded.contains(endpoint.name()))
                 .toList();
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -69,6 +69,9 @@
      */
     static void releaseKvCache(
             GatewayContext context, KvCacheReference kvCache, long connectTimeoutMillis) {
+        if (!context.placement().wantsRequests(kvCache.endpoint(), MonotonicClock.nowMillis())) {
+            return;
+        }
         context.placement().recordSent(kvCache.endpoint(), MonotonicClock.nowMillis());
         ReleaseListener listener = new ReleaseListener(context.wireFormat());
         OutgoingCall release =
@@ -138,6 +141,8 @@
                                                 MonotonicClock.nowMillis()));
         mContext.placement()
                 .recordStatement(mCall.endpoint(), response.limit(), MonotonicClock.nowMillis());
+        mContext.placement()
+                .recordNotice(mCall.endpoint(), response.notice(), MonotonicClock.nowMillis());
         mListener.onHead(head, response);
     }
 
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponse.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.apache.hc.core5.http.HttpStatus;
+import org.vanilladoor.fleet.EndpointNotice;
 import org.vanilladoor.fleet.LoadSample;
 import org.vanilladoor.fleet.StatedLimit;
 
@@ -19,6 +20,7 @@
  * @param identifier identifier of the attempt that the response belongs to, or an empty string
  * @param load the endpoint's load, if reported
  * @param limit what the endpoint says about the rate of requests that it takes
+ * @param notice what the endpoint says about further requests
  * @param contradiction why the head can't be the response to any call, if its fields contradict one
  *     another; the other components then mean nothing
  */
@@ -29,6 +31,7 @@
         String identifier,
         Optional<LoadSample> load,
         StatedLimit limit,
+        EndpointNotice notice,
         Optional<String> contradiction) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
@@ -46,6 +49,7 @@
         Objects.requireNonNull(identifier, "identifier");
         Objects.requireNonNull(load, "load");
         Objects.requireNonNull(limit, "limit");
+        Objects.requireNonNull(notice, "notice");
         Objects.requireNonNull(contradiction, "contradiction");
     }
 
--- a/src/main/java/org/vanilladoor/platform/Headers.java
+++ b/src/main/java/org/vanilladoor/platform/Headers.java
@@ -39,6 +39,9 @@
     /** Number of requests per second that the endpoint takes from all VMs together at present. */
     static final String REQUEST_LIMIT = "Server-Limit";
 
+    /** States that the endpoint is leaving. */
+    static final String LEAVING = "Server-Leaving";
+
     /** Name of the intended endpoint; another one at its address rejects the request. */
     static final String EXPECTED_ENDPOINT = "Vanilladoor-Expect-Instance";
 
--- a/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
+++ b/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
@@ -19,6 +19,7 @@
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.fleet.Endpoint;
+import org.vanilladoor.fleet.EndpointNotice;
 import org.vanilladoor.fleet.LoadSample;
 import org.vanilladoor.fleet.StatedLimit;
 import org.vanilladoor.gateway.CallerRequest;
@@ -44,6 +45,9 @@
     /** Maximum of the timeout that a caller may state; longer ones are reduced to it. */
     private static final long MAXIMUM_CALLER_TIMEOUT_MILLIS = 600_000;
 
+    /** Maximum of the time for which an endpoint may want no requests; longer ones are reduced. */
+    private static final long MAXIMUM_PAUSE_MILLIS = 600_000;
+
     /** Number of fields in {@link Headers#TOKEN_COUNTS}. */
     private static final int TOKEN_COUNT_FIELDS = 2;
 
@@ -104,7 +108,8 @@
                     "vanilladoor-load",
                     "vanilladoor-not-run",
                     "vanilladoor-instance",
-                    "server-limit");
+                    "server-limit",
+                    "server-leaving");
 
     @Override
     public CallerRequest decodeRequest(HttpRequest request, byte[] body)
@@ -196,6 +201,7 @@
                 headerText(head, Headers.ATTEMPT_IDENTIFIER),
                 decodeLoad(headerText(head, Headers.LOAD)),
                 decodeLimit(head),
+                decodeNotice(head),
                 findContradiction(head, notRun));
     }
 
@@ -359,6 +365,23 @@
         }
     }
 
+    private static EndpointNotice decodeNotice(HttpResponse head) {
+        boolean leaving = headerText(head, Headers.LEAVING).equals("1");
+        boolean isPause = head.getCode() == HttpStatus.SC_SERVICE_UNAVAILABLE;
+        return new EndpointNotice(
+                leaving, isPause ? decodePause(headerText(head, Headers.RETRY_AFTER)) : 0);
+    }
+
+    /** Returns the time in milliseconds; one that can't be read counts as 0. */
+    private static long decodePause(String seconds) {
+        try {
+            double millis = Math.ceil(Double.parseDouble(seconds) * MILLIS_PER_SECOND);
+            return (long) Math.max(0, Math.min(MAXIMUM_PAUSE_MILLIS, millis));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     private static Optional<LoadSample> decodeLoad(String text) {
         String[] fields = text.split(",");
         if (fields.length != LOAD_FIELDS) {
--- a/src/test/java/org/vanilladoor/fleet/PlacementTests.java
+++ b/src/test/java/org/vanilladoor/fleet/PlacementTests.java
@@ -56,6 +56,28 @@
         assertThat(choosePrefillEngine(mPlacement, "subject")).hasValue(first);
     }
 
+    @Test
+    void anEndpointThatSaidThatItLeavesIsChosenAgainOnceItHasRestarted() {
+        Endpoint endpoint = Endpoints.engine("e", "a", EngineRole.DECODE);
+        mDirectory.put(endpoint);
+        mPlacement.recordNotice(endpoint, new EndpointNotice(true, 0), NOW_MILLIS);
+        assertThat(mPlacement.hasEndpoint(Endpoints.SERVICE, Set.of(), NOW_MILLIS)).isFalse();
+        mDirectory.put(Endpoints.startedAt(endpoint, endpoint.startMillis() + 1));
+        assertThat(mPlacement.hasEndpoint(Endpoints.SERVICE, Set.of(), NOW_MILLIS)).isTrue();
+    }
+
+    @Test
+    void anEndpointIsChosenAgainAtTheEndOfItsPause() {
+        Endpoint endpoint = Endpoints.engine("e", "a", EngineRole.DECODE);
+        mDirectory.put(endpoint);
+        mPlacement.recordNotice(endpoint, new EndpointNotice(false, 2_000), NOW_MILLIS);
+        mPlacement.recordNotice(endpoint, EndpointNotice.none(), NOW_MILLIS + 10);
+        long lastMillis = NOW_MILLIS + 1_999;
+        assertThat(mPlacement.hasEndpoint(Endpoints.SERVICE, Set.of(), lastMillis)).isFalse();
+        assertThat(mPlacement.millisUntilRoom(Endpoints.SERVICE, Set.of(), lastMillis)).hasValue(1);
+        assertThat(mPlacement.hasEndpoint(Endpoints.SERVICE, Set.of(), lastMillis + 1)).isTrue();
+    }
+
     @Test
     void anEndpointThatIsLeavingOrChangingItsRoleIsNotChosen() {
         Endpoint usable = Endpoints.engine("stays", "b", EngineRole.DECODE);
