Wait for changed endpoints for 2 s, so that a silent connection is noticed in time

Interval, wait and delay of the repetition now add up to 2.8 s with 13 VMs, to 3.5 s with 117 and to 3.82 s with 95 of the large fleet, each below the time after which a VM has to be in touch there. The configuration is polled without an interval, so that its wait stays.

--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -39,8 +39,11 @@
     /** Maximum time for which the store waits for a newer configuration before it responds. */
     private static final long CONFIGURATION_WAIT_MILLIS = 2_500;
 
-    /** Maximum time for which the store waits for changed endpoints before it responds. */
-    private static final long ENDPOINT_WAIT_MILLIS = 2_500;
+    /**
+     * Maximum time for which the store waits for changed endpoints before it responds; shorter, by
+     * the interval between polls, than that for a newer configuration.
+     */
+    private static final long ENDPOINT_WAIT_MILLIS = 2_000;
 
     /** Interval of {@link #maintain}. */
     private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(200);
