End a chunked response with its last chunk, also if the connection ends with it

HttpCore's decoder reads the channel before it uses what is buffered, so that the end of a connection that followed the last chunk at once failed a complete response.

The end counts only once the decoder gets no further with what is buffered. CutChunkSizeTests: the new case failed before at the first responses, and passes with 200; the cut chunk size is still recognized.

--- a/src/main/java/org/vanilladoor/transport/OutgoingDuplexer.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingDuplexer.java
@@ -61,26 +61,39 @@
         boolean endsWithConnection = length == ContentLengthStrategy.UNDEFINED;
         return super.createContentDecoder(
                 length,
-                endsWithConnection ? channel : new EndlessChannel(channel),
+                endsWithConnection ? channel : new EndlessChannel(channel, buffer),
                 buffer,
                 metrics);
     }
 
-    /** A channel that may not end; closing it closes the connection. */
+    /**
+     * A channel that may not end while a body is incomplete; closing it closes the connection.
+     *
+     * <p>A decoder may read on before it has used what is buffered, so that the end counts only
+     * once it gets no further with that.
+     */
     private static final class EndlessChannel implements ReadableByteChannel {
         private final ReadableByteChannel mChannel;
+        private final SessionInputBuffer mBuffer;
+        private int mBufferedAtEnd = Integer.MAX_VALUE;
 
-        EndlessChannel(ReadableByteChannel channel) {
+        EndlessChannel(ReadableByteChannel channel, SessionInputBuffer buffer) {
             mChannel = channel;
+            mBuffer = buffer;
         }
 
         @Override
         public int read(ByteBuffer target) throws IOException {
             int count = mChannel.read(target);
-            if (count < 0) {
+            if (count >= 0) {
+                return count;
+            }
+            int buffered = mBuffer.length();
+            if (buffered == 0 || buffered >= mBufferedAtEnd) {
                 throw new ConnectionClosedException("the connection was closed inside a body");
             }
-            return count;
+            mBufferedAtEnd = buffered;
+            return 0;
         }
 
         @Override
--- a/src/test/java/org/vanilladoor/platform/CutChunkSizeTests.java
+++ b/src/test/java/org/vanilladoor/platform/CutChunkSizeTests.java
@@ -33,4 +33,18 @@
         assertThat(events(response)).isEqualTo(EVENT);
         assertThat(response).doesNotContain("\r\n0\r\n");
     }
+
+    @Test
+    void aCompleteStreamWhoseConnectionClosesAtOnceIsNotCutOff() throws IOException {
+        endpoint(
+                "e",
+                received ->
+                        new Answer(
+                                ScriptedEndpoint.streamResponse(received, End.KEEP, EVENT).text(),
+                                End.CLOSE));
+        for (int number = 0; number < 200; number++) {
+            String response = exchange(request("POST", "/chat/x", "body", "secret", ""));
+            assertThat(response).endsWith("\r\n0\r\n\r\n");
+        }
+    }
 }
