Cut resumed streams inside their last chunk, too

ResumedStreamTests left out the cuts behind the last chunk's size, since HttpCore's decoder took them for a complete stream when they were written.

--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -64,7 +64,6 @@
     private final HttpAsyncRequester mRequester;
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
     private final DistrustedPeers mDistrustedPeers = DistrustedPeers.create();
-
     private final Consumer<ConnectionAnomaly> mAnomalyListener;
 
     private ConnectionPool(
--- a/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResumedStreamTests.java
@@ -77,7 +77,7 @@
     @ValueSource(strings = {"CLOSE", "RESET"})
     void aResumedStreamThatIsCutAtAnyByteNeverLooksComplete(String end) throws IOException {
         String whole = events200(End.KEEP, SECOND, THIRD).apply(received("id-1")).text();
-        for (int length = 0; length < whole.indexOf("0\r\n\r\n"); length++) {
+        for (int length = 0; length < whole.length(); length++) {
             Answer cut = new Answer(whole.substring(0, length), End.valueOf(end));
             Seen seen = streamOver("/resume/", begun(), received -> cut);
             String message = "%s after %s bytes: %s".formatted(end, length, seen.text());
@@ -92,7 +92,7 @@
     void aStreamCutAtAnyByteIsResumedWithoutLossOrRepetition() throws IOException {
         String whole = events200(End.KEEP, FIRST, SECOND).apply(received("id-1")).text();
         int firstCut = whole.indexOf(FIRST) + FIRST.length();
-        for (int length = firstCut; length < whole.indexOf("0\r\n\r\n"); length++) {
+        for (int length = firstCut; length < whole.length(); length++) {
             Answer cut = new Answer(whole.substring(0, length), End.CLOSE_WHEN_TRIGGERED);
             Seen seen = streamOver("/resume/", received -> cut, rest());
             String message = "after %s bytes: %s".formatted(length, seen.text());
