Fail a blocking call whose chunked response is cut off inside a chunk's size

A body that was cut off after the first zeros of a chunk's size looked complete.

The stream that a body is read from fails at the end of the connection, unless nothing else delimits the body. StrayResponseBytesTests of package http: the new case failed before ("0") and passes; a second one reads 50 complete responses of each framing whose connection ends with them.

--- a/src/main/java/org/vanilladoor/http/PooledConnection.java
+++ b/src/main/java/org/vanilladoor/http/PooledConnection.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
@@ -47,6 +48,14 @@
         }
     }
 
+    @Override
+    protected InputStream createContentInputStream(
+            long length, SessionInputBuffer buffer, InputStream input) {
+        boolean endsWithConnection = length == ContentLengthStrategy.UNDEFINED;
+        return super.createContentInputStream(
+                length, buffer, endsWithConnection ? input : new EndlessInput(input));
+    }
+
     /** Parses the response heads of one connection. */
     private static final class ResponseParser implements HttpMessageParser<ClassicHttpResponse> {
         private final HttpMessageParser<ClassicHttpResponse> mParser =
@@ -72,7 +81,10 @@
         }
     }
 
-    /** Fails at the end of the connection, which HttpCore takes for the end of a head. */
+    /**
+     * Fails at the end of the connection, which HttpCore takes for the end of a head or of a
+     * chunk's size.
+     */
     private static final class EndlessInput extends FilterInputStream {
         EndlessInput(InputStream input) {
             super(input);
@@ -90,7 +102,7 @@
 
         private static int requireInput(int result) throws ConnectionClosedException {
             if (result < 0) {
-                throw new ConnectionClosedException("the connection was closed inside a head");
+                throw new ConnectionClosedException("the connection was closed inside a response");
             }
             return result;
         }
--- a/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
+++ b/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
@@ -85,6 +85,33 @@
         }
     }
 
+    @Test
+    void aBodyThatIsCutOffInsideAChunkSizeIsNotComplete() throws IOException {
+        String start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n";
+        for (String size : List.of("", "0", "00", "0\r", "0\r\n")) {
+            try (ScriptedServer server = new ScriptedServer(start + size, "", "")) {
+                server.mClosesAfterFirst = true;
+                assertWithMessage("chunk size %s", size).that(get(server)).isEqualTo("failure");
+            }
+        }
+    }
+
+    @Test
+    void aCompleteResponseIsNotFailedByTheEndOfItsConnection() throws IOException {
+        String head = "HTTP/1.1 200 OK\r\n";
+        String chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+        String withLength = head + "Content-Length: 4\r\n\r\ndone";
+        String withoutLength = head + "\r\ndone";
+        for (String whole : List.of(chunked, withLength, withoutLength)) {
+            for (int number = 0; number < 50; number++) {
+                try (ScriptedServer server = new ScriptedServer(whole, "", "")) {
+                    server.mClosesAfterFirst = true;
+                    assertWithMessage(whole).that(get(server)).isEqualTo("200 done");
+                }
+            }
+        }
+    }
+
     private String resultAfter(Arrival arrival, String stray) throws IOException {
         String first = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
         ScriptedServer server =
