--- a/src/main/java/org/vanilladoor/quarantine/CrashReport.java
+++ b/src/main/java/org/vanilladoor/quarantine/CrashReport.java
@@ -31,10 +31,5 @@
             cleared = cleared == null ? Set.of() : Set.copyOf(cleared);
             trials = trials == null ? Set.of() : Set.copyOf(trials);
         }
-
-        /** Returns the evidence about a part that was never answered before. */
-        public Part(Set<String> crashes, Set<String> cleared, Set<String> trials) {
-            this(crashes, cleared, trials, 0);
-        }
     }
 }
--- a/src/test/java/org/vanilladoor/quarantine/CrashReportExchangeTests.java
+++ b/src/test/java/org/vanilladoor/quarantine/CrashReportExchangeTests.java
@@ -91,7 +91,7 @@
                         Map.of(
                                 PART,
                                 new CrashReport.Part(
-                                        Set.of("e1", "e2", "e3"), Set.of(), Set.of())));
+                                        Set.of("e1", "e2", "e3"), Set.of(), Set.of(), 0)));
         mTable.write("crashes/good", 0, Json.write(report));
         Vm vm = new Vm("a");
         assertThat(vm.mQuarantine.verdict(List.of(PART))).isEqualTo(PromptVerdict.QUARANTINED);
