Decode chunks strictly, so that no part of a body is taken for a further request

What callers saw: a request whose chunk size was "-0", began or ended with a blank, or whose line ended with a bare line feed was accepted, and the bytes behind it were run as a request of their own. A program in front that reads the same bytes strictly sees no end there. A trailer that is no header line got no answer at all, only a reset.

Cause: HttpCore's chunk decoder parses the size as a signed number, trims it, and takes a bare line feed for the end of a line. A malformed chunk ends with an IOException, after which HttpCore resets the connection and takes the 400 with it.

Evidence: 23 spellings, each with a request behind it, in RequestFramingTests. Before: 23 of 23 fail, 15 of them because the inner request was answered and its connection stayed open, the others with a reset. After: all pass.

Why it works: ChunkDecoder accepts only what RFC 9112, section 7.1, defines, on both sides; whatever else is no chunk. The 400 is followed by a graceful close. The end of the connection never completes a body in chunks, so that the channel around HttpCore's decoder is no longer needed (CutChunkSizeTests passes without it).

--- a/src/main/java/org/vanilladoor/transport/CallerConnectionFactory.java
+++ b/src/main/java/org/vanilladoor/transport/CallerConnectionFactory.java
@@ -1,10 +1,8 @@
 package org.vanilladoor.transport;
 
-import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -13,16 +11,13 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
- * Gives each caller's connection a parser that rejects malformed heads.
+ * Gives each caller's connection a parser that rejects malformed requests.
  *
  * <p>Immutable and safe for use by any thread.
  */
 final class CallerConnectionFactory implements IOEventHandlerFactory {
-    private static final Logger LOG = LogManager.getLogger(CallerConnectionFactory.class);
     private static final HttpProcessor RESPONSE_PROCESSOR =
             HttpProcessorBuilder.create().add(new ResponseContent()).build();
     private final Http1Config mConfig;
@@ -54,16 +49,6 @@
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
         return new ServerHttp1IOEventHandler(
-                new ServerHttp1StreamDuplexerFactory(
-                                RESPONSE_PROCESSOR,
-                                mExchanges,
-                                mConfig,
-                                CharCodingConfig.DEFAULT,
-                                null,
-                                () -> RequestParser.create(mConfig),
-                                null,
-                                mListener,
-                                e -> LOG.debug("front: A request failed: {}.", e.toString()))
-                        .create("http", session));
+                CallerDuplexer.create(session, RESPONSE_PROCESSOR, mExchanges, mConfig, mListener));
     }
 }
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -257,7 +257,7 @@
         handleDisconnect();
     }
 
-    /** Sends a 400 response before HttpCore closes the connection after a malformed chunk. */
+    /** Sends a 400 response after a malformed chunk and closes the connection. */
     private void sendMalformedResponse() {
         synchronized (this) {
             if (mResponse != ResponseState.NOT_STARTED || mDisconnected) {
@@ -273,6 +273,8 @@
                     "front: The response to a malformed chunk could not be sent: {}.",
                     e.getMessage());
         }
+        // HttpCore would reset the connection, and with it what the caller has not read.
+        mSession.close(CloseMode.GRACEFUL);
     }
 
     @Override
--- a/src/main/java/org/vanilladoor/transport/OutgoingDuplexer.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingDuplexer.java
@@ -1,9 +1,6 @@
 package org.vanilladoor.transport;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.CharCodingConfig;
@@ -21,10 +18,12 @@
 /**
  * The HTTP side of one outgoing connection.
  *
- * <p>Invariant: the end of the connection ends a body only if nothing else delimits it; HttpCore
- * would also take it for the end of a chunk's size. Confined to the I/O thread.
+ * <p>Invariant: the end of the connection ends a body only if nothing else delimits it. Confined to
+ * the I/O thread.
  */
 final class OutgoingDuplexer extends ClientHttp1StreamDuplexer {
+    private final Http1Config mConfig;
+
     private OutgoingDuplexer(
             ProtocolIOSession session,
             HttpProcessor processor,
@@ -41,6 +40,7 @@
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
                 boundary);
+        mConfig = config;
     }
 
     static OutgoingDuplexer create(
@@ -58,52 +58,8 @@
             SessionInputBuffer buffer,
             BasicHttpTransportMetrics metrics)
             throws HttpException {
-        boolean endsWithConnection = length == ContentLengthStrategy.UNDEFINED;
-        return super.createContentDecoder(
-                length,
-                endsWithConnection ? channel : new EndlessChannel(channel, buffer),
-                buffer,
-                metrics);
-    }
-
-    /**
-     * A channel that may not end while a body is incomplete; closing it closes the connection.
-     *
-     * <p>A decoder may read on before it has used what is buffered, so that the end counts only
-     * once it gets no further with that.
-     */
-    private static final class EndlessChannel implements ReadableByteChannel {
-        private final ReadableByteChannel mChannel;
-        private final SessionInputBuffer mBuffer;
-        private int mBufferedAtEnd = Integer.MAX_VALUE;
-
-        EndlessChannel(ReadableByteChannel channel, SessionInputBuffer buffer) {
-            mChannel = channel;
-            mBuffer = buffer;
-        }
-
-        @Override
-        public int read(ByteBuffer target) throws IOException {
-            int count = mChannel.read(target);
-            if (count >= 0) {
-                return count;
-            }
-            int buffered = mBuffer.length();
-            if (buffered == 0 || buffered >= mBufferedAtEnd) {
-                throw new ConnectionClosedException("the connection was closed inside a body");
-            }
-            mBufferedAtEnd = buffered;
-            return 0;
-        }
-
-        @Override
-        public boolean isOpen() {
-            return mChannel.isOpen();
-        }
-
-        @Override
-        public void close() throws IOException {
-            mChannel.close();
-        }
+        return length == ContentLengthStrategy.CHUNKED
+                ? ChunkDecoder.create(channel, buffer, metrics, mConfig.getMaxLineLength())
+                : super.createContentDecoder(length, channel, buffer, metrics);
     }
 }
--- a/src/test/java/org/vanilladoor/transport/RequestFramingTests.java
+++ b/src/test/java/org/vanilladoor/transport/RequestFramingTests.java
@@ -85,6 +85,41 @@
         assertRejected(response);
     }
 
+    // Guards against chunks that a stricter reader in front of this one delimits otherwise.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "-0\r\n\r\n",
+                "+0\r\n\r\n",
+                " 0\r\n\r\n",
+                "\t0\r\n\r\n",
+                "0 \r\n\r\n",
+                "0x0\r\n\r\n",
+                "\r\n0\r\n\r\n",
+                ";extension\r\n\r\n",
+                "10000000000000000\r\n\r\n",
+                "0\n\r\n",
+                "0\r\n\n",
+                "0\r\nX-Trailer: 1\n\r\n",
+                "0;extension\n\r\n",
+                "5;extension\nbytes\r\n0\r\n\r\n",
+                "5;a=\"\n\"\r\nbytes\r\n0\r\n\r\n",
+                "5;\0\r\nbytes\r\n0\r\n\r\n",
+                "5\r\nbytes\n0\r\n\r\n",
+                "5\r\nbytes0\r\n\r\n",
+                "5\r\nbyte\r\n0\r\n\r\n",
+                "0\r\nno colon\r\n\r\n",
+                "0\r\nBad Name: 1\r\n\r\n",
+                "0\r\n: 1\r\n\r\n",
+                "0\r\n folded: 1\r\n\r\n"
+            })
+    void aRequestWithAnAmbiguousChunkIsRejectedAndItsConnectionClosed(String chunks)
+            throws IOException {
+        String response =
+                exchange("POST /outer HTTP/1.1\r\nHost: h\r\n" + CHUNKED + "\r\n" + chunks + INNER);
+        assertRejected(response);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 28})
     void endpointsGetExactlyTheRequestsThatWereSent(long seed) throws IOException {
