Count the memory that messages take, by use

By reading, three places could hold what endpoints send: bodies that are collected, parts that wait for the control thread, and output that callers do not read. Nothing told them apart.

MemoryBudget counts the bytes of each use, and the metrics page shows them beside the share of the heap that messages are meant to have; it does not limit anything yet. The parts of one response that wait are now joined, so that they are one task of the control thread.

--- /dev/null
+++ b/src/main/java/org/vanilladoor/common/MemoryBudget.java
@@ -0,0 +1,99 @@
+package org.vanilladoor.common;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * The memory that a process holds for the messages of its callers and endpoints.
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class MemoryBudget {
+    /** Share of the heap that messages may take; the rest is for copies and for all other data. */
+    private static final int HEAP_SHARE_DIVISOR = 4;
+
+    private final long mCapacityBytes;
+    private final Map<Use, Long> mHeldBytes = new EnumMap<>(Use.class);
+
+    private MemoryBudget(long capacityBytes) {
+        mCapacityBytes = capacityBytes;
+        for (Use use : Use.values()) {
+            mHeldBytes.put(use, 0L);
+        }
+    }
+
+    /** Returns a budget of the given size, of which nothing is held. */
+    public static MemoryBudget of(long capacityBytes) {
+        return new MemoryBudget(capacityBytes);
+    }
+
+    /** Returns a budget of the share of the maximum heap that is meant for messages. */
+    public static MemoryBudget ofHeap() {
+        return of(Runtime.getRuntime().maxMemory() / HEAP_SHARE_DIVISOR);
+    }
+
+    public long capacityBytes() {
+        return mCapacityBytes;
+    }
+
+    /** Opens an account that holds nothing. */
+    public Account open(Use use) {
+        return new Account(Objects.requireNonNull(use, "use"));
+    }
+
+    /** Returns the bytes held for one use. */
+    public synchronized long heldBytes(Use use) {
+        return mHeldBytes.get(use);
+    }
+
+    private synchronized void add(Use use, long bytes) {
+        mHeldBytes.merge(use, bytes, Long::sum);
+    }
+
+    /** What memory is held for. */
+    public enum Use {
+        /** Bodies of callers' requests, until the requests have ended. */
+        REQUEST_BODY,
+        /** Parts of responses that the control thread has not handled. */
+        RESPONSE_INPUT,
+        /** Bodies and events that are incomplete. */
+        RESPONSE_BODY,
+        /** Output that callers have not read. */
+        RESPONSE_OUTPUT
+    }
+
+    /**
+     * The bytes that one owner holds. As safe for use by any thread as its budget.
+     *
+     * <p>Invariant: a closed account holds nothing and stays so.
+     */
+    public final class Account implements AutoCloseable {
+        private final Use mUse;
+        private long mBytes;
+        private boolean mClosed;
+
+        private Account(Use use) {
+            mUse = use;
+        }
+
+        /** Sets the number of bytes that the owner holds. */
+        public void resize(long bytes) {
+            synchronized (MemoryBudget.this) {
+                if (!mClosed) {
+                    add(mUse, bytes - mBytes);
+                    mBytes = bytes;
+                }
+            }
+        }
+
+        /** Gives all bytes back. */
+        @Override
+        public void close() {
+            synchronized (MemoryBudget.this) {
+                resize(0);
+                mClosed = true;
+            }
+        }
+    }
+}
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.transport.CallFailure;
@@ -27,6 +28,7 @@
     private final CallerRequest mRequest;
     private final EndpointCall mCall;
     private final Listener mListener;
+    private final MemoryBudget.Account mBodyAccount;
     private OutgoingCall mOutgoingCall;
     private ControlLoop.Timer mTimeLimit = ControlLoop.Timer.NONE;
     private boolean mEnded;
@@ -37,6 +39,7 @@
         mRequest = request;
         mCall = call;
         mListener = listener;
+        mBodyAccount = context.memory().open(MemoryBudget.Use.RESPONSE_BODY);
     }
 
     /** Sends the call and adds it to the endpoint's load. */
@@ -148,7 +151,12 @@
 
     @Override
     public void onData(byte[] bytes) {
-        if (!mEnded && !mListener.onData(bytes)) {
+        if (mEnded) {
+            return;
+        }
+        boolean mayBeValid = mListener.onData(bytes);
+        mBodyAccount.resize(mListener.heldBytes());
+        if (!mayBeValid) {
             endWithInvalidResponse("the response is larger than any valid one");
         }
     }
@@ -186,6 +194,7 @@
         }
         mEnded = true;
         mTimeLimit.cancel();
+        mBodyAccount.close();
         mContext.placement().recordEnd(mCall.endpoint());
         adjustRunningCount(-1);
         return true;
@@ -209,6 +218,9 @@
          */
         boolean onData(byte[] bytes);
 
+        /** Returns the number of bytes that are kept of the response. */
+        long heldBytes();
+
         /** Called when the response is complete. */
         void onComplete();
 
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -87,6 +87,11 @@
                 && mExecution.progress().events().partialBytes() <= MAXIMUM_EVENT_BYTES;
     }
 
+    @Override
+    public long heldBytes() {
+        return mIsEventStream ? mExecution.progress().events().partialBytes() : mBody.size();
+    }
+
     private void forwardEvents(byte[] events) {
         recordProgress();
         if (!mExecution.isStreaming()) {
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Placement;
 import org.vanilladoor.quarantine.PromptGuard;
@@ -59,7 +60,7 @@
      * @param state configuration in force and shutdown state
      * @param placement selects the endpoint of each call
      * @param promptGuard keeps prompts that crash engines away from them
-     * @param accounting retry budgets, usage, load and metrics
+     * @param accounting retry budgets, usage, load, memory and metrics
      * @param random source for the weighted choice of a service
      */
     public static Gateway start(
@@ -74,6 +75,7 @@
         GatewayContext context =
                 new GatewayContext(
                         control,
+                        accounting.memory(),
                         connections,
                         CallHistory.create(),
                         wireFormat,
@@ -195,11 +197,13 @@
      * @param retryBudgets limits retries
      * @param usage counts the requests that started to run
      * @param load receives changes of the number of prefills and running requests
+     * @param memory the memory that responses take while they are incomplete
      * @param metrics counters and latencies
      */
     public record Accounting(
             LocalRetryBudgets retryBudgets,
             UsageSink usage,
             ServiceLoadSink load,
+            MemoryBudget memory,
             GatewayMetrics metrics) {}
 }
--- a/src/main/java/org/vanilladoor/gateway/GatewayContext.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayContext.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.fleet.Placement;
 import org.vanilladoor.quarantine.PromptGuard;
 import org.vanilladoor.transport.ConnectionPool;
@@ -13,6 +14,7 @@
  * <p>The components are confined to the control thread.
  *
  * @param control the loop that runs all work on the control thread
+ * @param memory the memory that responses take while they are incomplete
  * @param connections connection pool for calls to endpoints
  * @param callHistory tells which calls need a connection of their own
  * @param wireFormat encodes and decodes the platform's messages
@@ -28,6 +30,7 @@
  */
 record GatewayContext(
         ControlLoop control,
+        MemoryBudget memory,
         ConnectionPool connections,
         CallHistory callHistory,
         WireFormat wireFormat,
--- a/src/main/java/org/vanilladoor/platform/MetricsPage.java
+++ b/src/main/java/org/vanilladoor/platform/MetricsPage.java
@@ -11,6 +11,7 @@
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.gateway.ServingState;
 import org.vanilladoor.route.ServingConfiguration;
 import org.vanilladoor.transport.FrontExchange;
@@ -29,13 +30,15 @@
 
     private static final String PREFIX = "vanilladoor_";
     private final MetricRegistry mRegistry;
+    private final MemoryBudget mMemory;
 
-    private MetricsPage(MetricRegistry registry) {
+    private MetricsPage(MetricRegistry registry, MemoryBudget memory) {
         mRegistry = registry;
+        mMemory = memory;
     }
 
-    static MetricsPage create(MetricRegistry registry) {
-        return new MetricsPage(registry);
+    static MetricsPage create(MetricRegistry registry, MemoryBudget memory) {
+        return new MetricsPage(registry, memory);
     }
 
     /** Responds to a request for the page. */
@@ -56,6 +59,13 @@
                 page,
                 "configuration_version",
                 state.configuration().map(ServingConfiguration::version).orElse(0L));
+        appendLine(page, "memory_capacity_bytes", mMemory.capacityBytes());
+        for (MemoryBudget.Use use : MemoryBudget.Use.values()) {
+            appendLine(
+                    page,
+                    "memory_held_bytes{use=\"" + use.name().toLowerCase(Locale.ROOT) + "\"}",
+                    mMemory.heldBytes(use));
+        }
         for (Map.Entry<String, Counter> counter : mRegistry.getCounters().entrySet()) {
             appendLine(
                     page, metricName(counter.getKey()) + "_total", counter.getValue().getCount());
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -11,6 +11,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.EndpointDirectory;
 import org.vanilladoor.fleet.EndpointPollInterval;
@@ -72,6 +73,7 @@
     private static final int BROKEN_EXIT_CODE = 3;
     private final PlatformSettings mSettings;
     private final ControlLoop mControl;
+    private final MemoryBudget mMemory;
     private final ConnectionPool mConnections;
     private final ServingState mState;
     private final Gateway mGateway;
@@ -84,7 +86,8 @@
         mControl = ControlLoop.start("control");
         MetricRegistry registry = new MetricRegistry();
         GatewayMetrics metrics = GatewayMetrics.create(registry);
-        mConnections = ConnectionPool.start(mControl, metrics::countAnomaly);
+        mMemory = MemoryBudget.ofHeap();
+        mConnections = ConnectionPool.start(mControl, mMemory, metrics::countAnomaly);
         mState = ServingState.create();
         RandomGenerator random = new SplittableRandom();
         EndpointDirectory directory = EndpointDirectory.create();
@@ -124,11 +127,11 @@
                                 leaderTasks::isHolder,
                                 incarnation),
                         new Gateway.Accounting(
-                                retryBudgets(settings), leaderTasks, leaderTasks, metrics),
+                                retryBudgets(settings), leaderTasks, leaderTasks, mMemory, metrics),
                         random);
         startFeeds(store, directory, pollInterval, news, random);
         mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
-        mMetricsPage = MetricsPage.create(registry);
+        mMetricsPage = MetricsPage.create(registry, mMemory);
         mOperatorServer = startServer(settings.readinessAddress(), this::respondToOperator);
         tryListenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
         mControl.scheduleWithFixedDelay(
@@ -229,7 +232,12 @@
     private FrontServer startServer(HostPort address, Consumer<FrontExchange> receiver)
             throws IOException {
         return FrontServer.start(
-                address, mControl, MAXIMUM_HEADER_LINE_BYTES, this::maximumBodyBytes, receiver);
+                address,
+                mControl,
+                mMemory,
+                MAXIMUM_HEADER_LINE_BYTES,
+                this::maximumBodyBytes,
+                receiver);
     }
 
     /** Listens for metrics requests; if that fails, the process serves without metrics. */
--- a/src/main/java/org/vanilladoor/platform/WarmUpPlatform.java
+++ b/src/main/java/org/vanilladoor/platform/WarmUpPlatform.java
@@ -13,6 +13,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.transport.FrontExchange;
 import org.vanilladoor.transport.FrontServer;
 
@@ -51,6 +52,7 @@
                 FrontServer.start(
                         address,
                         mControl,
+                        MemoryBudget.ofHeap(),
                         MAXIMUM_HEADER_LINE_BYTES,
                         () -> MAXIMUM_BODY_BYTES,
                         this::respond);
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -26,6 +26,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 
 /**
@@ -61,6 +62,7 @@
     private static final Timeout SOCKET_TIMEOUT = Timeout.ofMinutes(2);
 
     private final ControlLoop mControl;
+    private final MemoryBudget mMemory;
     private final HttpAsyncRequester mRequester;
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
     private final DistrustedPeers mDistrustedPeers = DistrustedPeers.create();
@@ -68,9 +70,11 @@
 
     private ConnectionPool(
             ControlLoop control,
+            MemoryBudget memory,
             HttpAsyncRequester requester,
             Consumer<ConnectionAnomaly> anomalyListener) {
         mControl = control;
+        mMemory = memory;
         mRequester = requester;
         mAnomalyListener = anomalyListener;
     }
@@ -78,10 +82,11 @@
     /**
      * Starts a pool without connections.
      *
+     * @param memory the memory that responses take
      * @param anomalyListener called on the control thread when a peer mixes up its responses
      */
     public static ConnectionPool start(
-            ControlLoop control, Consumer<ConnectionAnomaly> anomalyListener) {
+            ControlLoop control, MemoryBudget memory, Consumer<ConnectionAnomaly> anomalyListener) {
         HttpAsyncRequester requester =
                 new HttpAsyncRequester(
                         reactorConfig(),
@@ -104,7 +109,7 @@
                         null,
                         null);
         requester.start();
-        return new ConnectionPool(control, requester, anomalyListener);
+        return new ConnectionPool(control, memory, requester, anomalyListener);
     }
 
     private static IOReactorConfig reactorConfig() {
@@ -204,6 +209,11 @@
         }
     }
 
+    /** Opens an account for the input of a call. */
+    MemoryBudget.Account openInputAccount() {
+        return mMemory.open(MemoryBudget.Use.RESPONSE_INPUT);
+    }
+
     /** Returns whether the pool can still open connections. */
     public boolean isRunning() {
         return mRequester.getStatus() == IOReactorStatus.ACTIVE;
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -31,6 +31,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 
 /**
  * One request of a caller and its response.
@@ -54,6 +55,8 @@
     private final CloseDetectingSession mSession;
     private final int mMaximumBodyBytes;
     private final Consumer<FrontExchange> mReceiver;
+    private final MemoryBudget.Account mBodyAccount;
+    private final MemoryBudget.Account mOutputAccount;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final Deque<ByteBuffer> mUnsent = new ArrayDeque<>();
     private final AtomicInteger mOpenExchanges;
@@ -71,6 +74,7 @@
 
     FrontExchange(
             ControlLoop control,
+            MemoryBudget memory,
             CloseDetectingSession session,
             int maximumBodyBytes,
             Consumer<FrontExchange> receiver,
@@ -78,6 +82,8 @@
         mOpenExchanges = openExchanges;
         mOpenExchanges.incrementAndGet();
         mControl = control;
+        mBodyAccount = memory.open(MemoryBudget.Use.REQUEST_BODY);
+        mOutputAccount = memory.open(MemoryBudget.Use.RESPONSE_OUTPUT);
         mSession = session;
         mMaximumBodyBytes = maximumBodyBytes;
         mReceiver = receiver;
@@ -139,7 +145,7 @@
         boolean isOverflowing;
         synchronized (this) {
             mUnsent.add(ByteBuffer.wrap(bytes));
-            mUnsentBytes += bytes.length;
+            setUnsentBytes(mUnsentBytes + bytes.length);
             isOverflowing = mUnsentBytes > MAXIMUM_UNSENT_BYTES;
         }
         if (isOverflowing) {
@@ -163,7 +169,7 @@
             // Nothing more may be sent, in particular not the terminating chunk.
             mDisconnected = true;
             mUnsent.clear();
-            mUnsentBytes = 0;
+            setUnsentBytes(0);
         }
         mSession.close(closeMode());
     }
@@ -196,12 +202,14 @@
         if (mBodyTooLarge || mBody.size() + source.remaining() > mMaximumBodyBytes) {
             mBodyTooLarge = true;
             mBody.reset();
+            mBodyAccount.resize(0);
             source.position(source.limit());
             return;
         }
         byte[] bytes = new byte[source.remaining()];
         source.get(bytes);
         mBody.write(bytes, 0, bytes.length);
+        mBodyAccount.resize(mBody.size());
     }
 
     @Override
@@ -236,7 +244,7 @@
             while (!mUnsent.isEmpty()) {
                 ByteBuffer next = mUnsent.peek();
                 int written = channel.write(next);
-                mUnsentBytes -= Math.max(0, written);
+                setUnsentBytes(mUnsentBytes - Math.max(0, written));
                 if (next.hasRemaining()) {
                     return;
                 }
@@ -281,6 +289,8 @@
     public void releaseResources() {
         if (mReleased.compareAndSet(false, true)) {
             mOpenExchanges.decrementAndGet();
+            mBodyAccount.close();
+            mOutputAccount.close();
         }
         handleDisconnect();
     }
@@ -316,7 +326,7 @@
             mDisconnected = true;
             action = mEndSent ? () -> {} : mOnDisconnect;
             mUnsent.clear();
-            mUnsentBytes = 0;
+            setUnsentBytes(0);
         }
         mControl.execute(action);
     }
@@ -327,7 +337,7 @@
             if (!tryAdvance(ResponseState.NOT_STARTED, next)) {
                 return;
             }
-            mUnsentBytes = firstBytes.remaining();
+            setUnsentBytes(firstBytes.remaining());
             if (firstBytes.hasRemaining()) {
                 mUnsent.add(firstBytes);
             }
@@ -363,6 +373,11 @@
         return false;
     }
 
+    private synchronized void setUnsentBytes(int bytes) {
+        mUnsentBytes = bytes;
+        mOutputAccount.resize(bytes);
+    }
+
     private void requestOutput() {
         DataStreamChannel output;
         synchronized (this) {
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -26,6 +26,7 @@
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 
 /**
@@ -61,6 +62,7 @@
      *
      * @param address address to listen on; port 0 selects a free port
      * @param control loop that runs the receiver
+     * @param memory the memory that requests and unread responses take
      * @param maximumHeaderLineBytes maximum length of a line in a request's head
      * @param maximumBodyBytes supplies the maximum size of a body; evaluated for each request
      * @param receiver receives each request on the control thread
@@ -69,6 +71,7 @@
     public static FrontServer start(
             HostPort address,
             ControlLoop control,
+            MemoryBudget memory,
             int maximumHeaderLineBytes,
             IntSupplier maximumBodyBytes,
             Consumer<FrontExchange> receiver)
@@ -88,6 +91,7 @@
                                 (request, context) ->
                                         new FrontExchange(
                                                 control,
+                                                memory,
                                                 sessions.find(current.mConnection),
                                                 maximumBodyBytes.getAsInt(),
                                                 receiver,
--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -69,7 +69,9 @@
             return;
         }
         mConnection = connection;
-        mExchange = OutgoingExchange.create(mControl, this, connection, mRequest, mBody);
+        mExchange =
+                OutgoingExchange.create(
+                        mControl, this, connection, mRequest, mBody, mPool.openInputAccount());
         connection.execute(mExchange);
     }
 
--- a/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.transport;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.apache.hc.core5.http.nio.RequestChannel;
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 
 /**
  * The request and the response of a call on one connection.
@@ -30,6 +32,8 @@
     private final ConnectionPool.PooledConnection mConnection;
     private final HttpRequest mRequest;
     private final ByteBuffer mBody;
+    private final MemoryBudget.Account mInputAccount;
+    private final ByteArrayOutputStream mInput = new ByteArrayOutputStream();
     private final Object mSendLock = new Object();
     private boolean mSent;
     private boolean mMayNotBeSent;
@@ -48,12 +52,14 @@
             OutgoingCall call,
             ConnectionPool.PooledConnection connection,
             HttpRequest request,
-            byte[] body) {
+            byte[] body,
+            MemoryBudget.Account inputAccount) {
         mControl = control;
         mCall = call;
         mConnection = connection;
         mRequest = request;
         mBody = ByteBuffer.wrap(body);
+        mInputAccount = inputAccount;
     }
 
     static OutgoingExchange create(
@@ -61,8 +67,9 @@
             OutgoingCall call,
             ConnectionPool.PooledConnection connection,
             HttpRequest request,
-            byte[] body) {
-        return new OutgoingExchange(control, call, connection, request, body);
+            byte[] body,
+            MemoryBudget.Account inputAccount) {
+        return new OutgoingExchange(control, call, connection, request, body, inputAccount);
     }
 
     /** Prevents that the request is sent, unless it has been; {@link #isSent} is final then. */
@@ -133,7 +140,26 @@
         mHasBody |= source.hasRemaining();
         byte[] bytes = new byte[source.remaining()];
         source.get(bytes);
-        mControl.execute(() -> mCall.onData(this, bytes));
+        boolean isFirst;
+        synchronized (mInput) {
+            isFirst = mInput.size() == 0;
+            mInput.writeBytes(bytes);
+            mInputAccount.resize(mInput.size());
+        }
+        if (isFirst) {
+            mControl.execute(this::handleInput);
+        }
+    }
+
+    /** Passes the input that has arrived to the call; on the control thread. */
+    private void handleInput() {
+        byte[] bytes;
+        synchronized (mInput) {
+            bytes = mInput.toByteArray();
+            mInput.reset();
+            mInputAccount.resize(0);
+        }
+        mCall.onData(this, bytes);
     }
 
     @Override
@@ -164,6 +190,7 @@
 
     @Override
     public void releaseResources() {
+        mInputAccount.close();
         // If the connection closes without an error or a response, this is the only callback.
         mControl.execute(() -> mCall.onFailure(this, "the connection was closed"));
     }
--- a/src/test/java/org/vanilladoor/platform/EndpointMarksTests.java
+++ b/src/test/java/org/vanilladoor/platform/EndpointMarksTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.platform.EndpointMarks.Kind;
 import org.vanilladoor.transport.ConnectionPool;
 
@@ -24,7 +25,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        mConnections = ConnectionPool.start(mControl, anomaly -> {});
+        mConnections = ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
         mPlatform = SoakPlatform.start(new SoakLedger());
         mClient =
                 ObjectClient.create(
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -20,6 +20,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.ExpiryClock;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.EndpointDirectory;
@@ -48,7 +49,8 @@
 abstract class GatewayFixture {
     static final long TIMEOUT_MILLIS = 1_200;
     final ControlLoop mControl = ControlLoop.start("control");
-    final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    final ConnectionPool mConnections =
+            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
     final ServingState mState = ServingState.create();
     private final EndpointDirectory mDirectory = EndpointDirectory.create();
     final List<String> mStartedTeams = new CopyOnWriteArrayList<>();
@@ -84,12 +86,14 @@
                                 retryBudgets(),
                                 mStartedTeams::add,
                                 new IgnoringLoadSink(),
+                                MemoryBudget.ofHeap(),
                                 GatewayMetrics.create(new MetricRegistry())),
                         new SplittableRandom(4));
         mServer =
                 FrontServer.start(
                         new HostPort("127.0.0.1", 0),
                         mControl,
+                        MemoryBudget.ofHeap(),
                         8_192,
                         () -> 1_000,
                         gateway::handle);
--- a/src/test/java/org/vanilladoor/platform/LateResponseTests.java
+++ b/src/test/java/org/vanilladoor/platform/LateResponseTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.fleet.Endpoints;
@@ -29,7 +30,8 @@
 class LateResponseTests {
     private static final long WAIT_SECONDS = 10;
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    private final ConnectionPool mConnections =
+            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
     private final PlatformCalls mCalls = PlatformCalls.create(mControl, mConnections);
     private ScriptedEndpoint mPeer;
 
--- a/src/test/java/org/vanilladoor/platform/OddEntryTests.java
+++ b/src/test/java/org/vanilladoor/platform/OddEntryTests.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.fleet.EndpointDirectory;
 import org.vanilladoor.gateway.ServingState;
 import org.vanilladoor.provider.StoredObject;
@@ -55,7 +56,7 @@
     @BeforeTry
     void start() throws IOException {
         mControl = ControlLoop.start("odd-entry-tests");
-        mConnections = ConnectionPool.start(mControl, anomaly -> {});
+        mConnections = ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
         mStore = RawObjectStore.start(PAGE_SIZE);
         mClient =
                 ObjectClient.create(PlatformCalls.create(mControl, mConnections), mStore.address());
--- a/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
+++ b/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
@@ -34,7 +35,8 @@
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String KILOBYTE = "x".repeat(1_024);
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    private final ConnectionPool mConnections =
+            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
     private final PlatformCalls mCalls = PlatformCalls.create(mControl, mConnections);
     private ScriptedEndpoint mPeer;
 
--- a/src/test/java/org/vanilladoor/platform/RepeatedControlResponseTests.java
+++ b/src/test/java/org/vanilladoor/platform/RepeatedControlResponseTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.fleet.Endpoints;
@@ -43,7 +44,8 @@
     private static final String BUSY_REPORT = "200 {\"phase\":\"decode\",\"busy\":true,\"seq\":2}";
     private static final String CONFLICT = "409 {\"error\":\"another order is in progress\"}";
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    private final ConnectionPool mConnections =
+            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
     private final PlatformCalls mCalls = PlatformCalls.create(mControl, mConnections);
     private final Map<Integer, String> mLastResponses = new ConcurrentHashMap<>();
     private ScriptedEndpoint mPeer;
--- a/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
+++ b/src/test/java/org/vanilladoor/platform/StoreFeedTests.java
@@ -16,6 +16,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.ExpiryClock;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.transport.ConnectionPool;
 
 /** Following the objects of one kind in the store. */
@@ -46,7 +47,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        mConnections = ConnectionPool.start(mControl, anomaly -> {});
+        mConnections = ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
         mPlatform = SoakPlatform.start(new SoakLedger());
         mLink = FaultyLink.start(mPlatform::address);
         ObjectClient client =
--- a/src/test/java/org/vanilladoor/transport/EarlyResponseTests.java
+++ b/src/test/java/org/vanilladoor/transport/EarlyResponseTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.ThreadPools;
 
 /** Peers that respond before they have read the request. */
@@ -33,7 +34,8 @@
 
     private static final long WAIT_SECONDS = 10;
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    private final ConnectionPool mConnections =
+            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
     private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
     private ServerSocket mPeer;
 
--- a/src/test/java/org/vanilladoor/transport/FrontExchangeTests.java
+++ b/src/test/java/org/vanilladoor/transport/FrontExchangeTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 
 /** Guards against a request that is done for its receiver, but has no end that its caller sees. */
 @Timeout(60)
@@ -133,7 +134,12 @@
     private void startServer(Consumer<FrontExchange> receiver) throws IOException {
         mServer =
                 FrontServer.start(
-                        new HostPort("127.0.0.1", 0), mControl, 8_192, () -> 1_000, receiver);
+                        new HostPort("127.0.0.1", 0),
+                        mControl,
+                        MemoryBudget.ofHeap(),
+                        8_192,
+                        () -> 1_000,
+                        receiver);
     }
 
     private Socket sendRequest() throws IOException {
--- a/src/test/java/org/vanilladoor/transport/FrontServerTests.java
+++ b/src/test/java/org/vanilladoor/transport/FrontServerTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 
 /**
  * Guards against a planned stop that cuts requests which have just been accepted: their body is
@@ -77,6 +78,7 @@
         return FrontServer.start(
                 new HostPort("127.0.0.1", 0),
                 mControl,
+                MemoryBudget.ofHeap(),
                 8_192,
                 () -> 1_000,
                 exchange -> exchange.respond(new BasicHttpResponse(200), mResponse));
--- a/src/test/java/org/vanilladoor/transport/RequestFramingTests.java
+++ b/src/test/java/org/vanilladoor/transport/RequestFramingTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 
 /** Requests whose body may be taken for further requests. */
 @Timeout(60)
@@ -36,7 +37,12 @@
     void start() throws IOException {
         mServer =
                 FrontServer.start(
-                        new HostPort("127.0.0.1", 0), mControl, 8_192, () -> 10_000, this::receive);
+                        new HostPort("127.0.0.1", 0),
+                        mControl,
+                        MemoryBudget.ofHeap(),
+                        8_192,
+                        () -> 10_000,
+                        this::receive);
     }
 
     @AfterEach
--- a/src/test/java/org/vanilladoor/transport/UnansweredConnectTests.java
+++ b/src/test/java/org/vanilladoor/transport/UnansweredConnectTests.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 
 /** Peers that do not answer attempts to connect. */
 @Timeout(60)
@@ -22,7 +23,8 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 300;
     private static final long WAIT_SECONDS = 20;
     private final ControlLoop mControl = ControlLoop.start("control");
-    private final ConnectionPool mConnections = ConnectionPool.start(mControl, anomaly -> {});
+    private final ConnectionPool mConnections =
+            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
 
     @AfterEach
     void stop() {
