Close one connection, not all, when its handling ends with an error

Cause: HttpCore ends the I/O thread, which all connections share, on an Error; ServeProcess then takes the process for broken.

The handlers of callers' and of outgoing connections now close just the connection whose input or output was handled, and log `connections handling.failed`. The close is seen by the exchange as any other one.

--- a/src/main/java/org/vanilladoor/transport/CallerConnectionFactory.java
+++ b/src/main/java/org/vanilladoor/transport/CallerConnectionFactory.java
@@ -2,7 +2,6 @@
 
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -48,7 +47,7 @@
 
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, Object attachment) {
-        return new ServerHttp1IOEventHandler(
+        return CallerConnectionHandler.of(
                 CallerDuplexer.create(session, RESPONSE_PROCESSOR, mExchanges, mConfig, mListener));
     }
 }
--- a/src/main/java/org/vanilladoor/transport/ConnectionHandlerFactory.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionHandlerFactory.java
@@ -1,7 +1,6 @@
 package org.vanilladoor.transport;
 
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestContent;
@@ -34,7 +33,7 @@
         ResponseBoundary boundary =
                 (ResponseBoundary) ((EndpointParameters) attachment).getAttachment();
         boundary.bind(session);
-        return new ClientHttp1IOEventHandler(
+        return CallConnectionHandler.of(
                 OutgoingDuplexer.create(session, REQUEST_PROCESSOR, mConfig, boundary));
     }
 }
