Bound the time that one connection's input takes

Cause: both cost time without bytes that anything counts. A connection could go on for as long as its peer sent.

After 100 interim responses to one request, or 64 KiB of chunk sizes and extensions beyond four times the content, the connection is closed as broken, and one call of the decoder reads the socket once, so that other connections have their turn.

--- a/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
+++ b/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
@@ -15,12 +16,21 @@
  *
  * <p>HttpCore's decoder also accepts signed and padded sizes, lines without a carriage return and
  * the end of the connection inside a size, which other programs delimit differently. Invariants:
- * only the last chunk and its trailers complete the body; the memory for lines is bounded. Trailers
- * are checked and discarded. Confined to the I/O thread.
+ * only the last chunk and its trailers complete the body; the memory for lines, and the time for
+ * chunks with hardly any content, are bounded. Trailers are checked and discarded. Confined to the
+ * I/O thread.
  */
 final class ChunkDecoder extends AbstractContentDecoder {
     private static final int HEXADECIMAL = 16;
 
+    /** Length of the ends of the two lines that enclose a chunk. */
+    private static final int LINE_ENDS_BYTES = 4;
+
+    /** Sizes and extensions beyond this must not be longer than the content by the factor. */
+    private static final long FREE_FRAMING_BYTES = 64 * 1024;
+
+    private static final long MAXIMUM_FRAMING_FACTOR = 4;
+
     /** A size with optional extensions; 15 digits fit into a long. */
     private static final Pattern SIZE_LINE =
             Pattern.compile("([0-9A-Fa-f]{1,15})([ \\t]*;[\\t\\x20-\\x7E\\x80-\\xFF]*)?");
@@ -32,6 +42,8 @@
     private final StringBuilder mLine = new StringBuilder();
     private Position mPosition = Position.SIZE;
     private long mRemainingBytes;
+    private long mContentBytes;
+    private long mFramingBytes;
     private int mTrailerBytes;
 
     private ChunkDecoder(
@@ -67,9 +79,14 @@
     @Override
     public int read(ByteBuffer target) throws IOException {
         int count = 0;
+        boolean hasFilled = false;
         while (!isCompleted() && (mPosition != Position.DATA || target.hasRemaining())) {
-            if (!buffer().hasData() && !fill()) {
-                return count;
+            if (!buffer().hasData()) {
+                // One read, so that other connections have their turn.
+                if (hasFilled || !fill()) {
+                    return count;
+                }
+                hasFilled = true;
             }
             if (mPosition == Position.DATA) {
                 count += readData(target);
@@ -93,6 +110,7 @@
     private int readData(ByteBuffer target) {
         int count = buffer().read(target, (int) Math.min(mRemainingBytes, target.remaining()));
         mRemainingBytes -= count;
+        mContentBytes += count;
         if (mRemainingBytes == 0) {
             mPosition = Position.DATA_END;
         }
@@ -129,10 +147,14 @@
     }
 
     private void beginChunk(String line) throws MalformedChunkCodingException {
-        var matcher = SIZE_LINE.matcher(line);
+        Matcher matcher = SIZE_LINE.matcher(line);
         if (!matcher.matches()) {
             throw new MalformedChunkCodingException("invalid size of a chunk");
         }
+        mFramingBytes += line.length() + LINE_ENDS_BYTES;
+        if (mFramingBytes > FREE_FRAMING_BYTES + MAXIMUM_FRAMING_FACTOR * mContentBytes) {
+            throw new MalformedChunkCodingException("the chunks have hardly any content");
+        }
         mRemainingBytes = Long.parseLong(matcher.group(1), HEXADECIMAL);
         mPosition = mRemainingBytes == 0 ? Position.TRAILERS : Position.DATA;
     }
--- a/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseBoundary.java
@@ -19,10 +19,14 @@
  * arrive otherwise close the connection. Confined to the I/O thread.
  */
 final class ResponseBoundary implements Http1StreamListener {
+    /** Maximum number of interim (1xx) responses to one request. */
+    private static final int MAXIMUM_INTERIM_RESPONSES = 100;
+
     private final Reporter mReporter;
     private final ByteBuffer mUnexpected = ByteBuffer.allocate(1);
     private IOSession mSession;
     private boolean mResponseDue;
+    private int mInterimResponses;
 
     private ResponseBoundary(Reporter reporter) {
         mReporter = reporter;
@@ -78,9 +82,20 @@
         mReporter.report(ConnectionAnomaly.MERGED_HEADS, line);
     }
 
-    void onHeadParsed(HttpResponse head) {
+    /**
+     * Records a response head.
+     *
+     * @throws ProtocolException if interim responses may go on without end
+     */
+    void onHeadParsed(HttpResponse head) throws ProtocolException {
         if (head.getCode() >= HttpStatus.SC_SUCCESS) {
             mResponseDue = false;
+            mInterimResponses = 0;
+            return;
+        }
+        mInterimResponses++;
+        if (mInterimResponses > MAXIMUM_INTERIM_RESPONSES) {
+            throw new ProtocolException("too many interim responses");
         }
     }
 
