Bound the memory of all messages together, with flow control both ways

Unread output (4 MiB each) and parts that wait for the control thread (a window of 2 GiB) had the same fault.

Ruled out as the cause of this case: parts that wait (2.7 MB) and unread output (0.03 MB).

Why it works: an account of MemoryBudget grows only while it holds no more than what is free, so that large messages end first and small ones find room. An endpoint may send 64 KiB before they are handled, and is not read while its caller leaves 64 KiB unread. A body that cannot be the answer is not kept. A response with a stated length is forwarded from 256 KiB on. A request whose body finds no room gets 503 at once; a head is at most 64 KiB; a partial event is scanned once.

--- a/src/main/java/org/vanilladoor/common/MemoryBudget.java
+++ b/src/main/java/org/vanilladoor/common/MemoryBudget.java
@@ -7,19 +7,29 @@
 /**
  * The memory that a process holds for the messages of its callers and endpoints.
  *
- * <p>Safe for use by any thread.
+ * <p>Invariant: an account grows only while it holds no more than what remains free. A single one
+ * can take half of the budget, and each of {@code n} equal ones {@code 1 / (n + 1)}, so that there
+ * is always room for small messages, however many large ones there are. Safe for use by any thread.
  */
 public final class MemoryBudget {
     /** Share of the heap that messages may take; the rest is for copies and for all other data. */
     private static final int HEAP_SHARE_DIVISOR = 4;
 
     private final long mCapacityBytes;
+
+    /** Minimum interval between log lines about a budget that is spent. */
+    private static final long LOG_INTERVAL_MILLIS = 1_000;
+
     private final Map<Use, Long> mHeldBytes = new EnumMap<>(Use.class);
+    private final Map<Use, Long> mRejections = new EnumMap<>(Use.class);
+    private long mTotalBytes;
+    private long mNextLogMillis = Long.MIN_VALUE;
 
     private MemoryBudget(long capacityBytes) {
         mCapacityBytes = capacityBytes;
         for (Use use : Use.values()) {
             mHeldBytes.put(use, 0L);
+            mRejections.put(use, 0L);
         }
     }
 
@@ -47,8 +57,34 @@
         return mHeldBytes.get(use);
     }
 
-    private synchronized void add(Use use, long bytes) {
+    /** Returns how often an account was not allowed to grow for one use. */
+    public synchronized long rejections(Use use) {
+        return mRejections.get(use);
+    }
+
+    private void add(Use use, long bytes) {
         mHeldBytes.merge(use, bytes, Long::sum);
+        mTotalBytes += bytes;
+    }
+
+    private void recordRejection(Use use, long bytes) {
+        mRejections.merge(use, 1L, Long::sum);
+        long nowMillis = MonotonicClock.nowMillis();
+        if (nowMillis < mNextLogMillis) {
+            return;
+        }
+        mNextLogMillis = nowMillis + LOG_INTERVAL_MILLIS;
+        EventLog.write(
+                "memory",
+                "rejected",
+                "use",
+                use,
+                "bytes",
+                bytes,
+                "held",
+                mTotalBytes,
+                "capacity",
+                mCapacityBytes);
     }
 
     /** What memory is held for. */
@@ -77,7 +113,26 @@
             mUse = use;
         }
 
-        /** Sets the number of bytes that the owner holds. */
+        /**
+         * Sets the number of bytes that the owner holds, unless that is more than what would remain
+         * free.
+         *
+         * @return whether the number was set
+         */
+        public boolean tryResize(long bytes) {
+            synchronized (MemoryBudget.this) {
+                boolean isAllowed =
+                        bytes <= mBytes || bytes <= mCapacityBytes - (mTotalBytes - mBytes + bytes);
+                if (isAllowed) {
+                    resize(bytes);
+                } else {
+                    recordRejection(mUse, bytes);
+                }
+                return isAllowed;
+            }
+        }
+
+        /** Sets the number of bytes that the owner holds, which something else limits. */
         public void resize(long bytes) {
             synchronized (MemoryBudget.this) {
                 if (!mClosed) {
--- a/src/main/java/org/vanilladoor/gateway/CallerResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/CallerResponse.java
@@ -10,11 +10,11 @@
 /**
  * The response to one request, as its caller sees it.
  *
- * <p>Invariants: a response ends exactly once. Before its first event it may end with any whole
- * response; after that only more events follow, until the stream is completed or cut off. An end
- * that is no longer possible becomes a cut, so that the caller sees one in any case. Its time limit
- * ends with it. A stopping process asks its callers to close their connections. Confined to the
- * control thread.
+ * <p>Invariants: a response ends exactly once. Before its first part it may end with any whole
+ * response; after that only more of it follows, until it is completed or cut off. An end that is no
+ * longer possible becomes a cut, so that the caller sees one in any case. Its time limit ends with
+ * it. A stopping process asks its callers to close their connections. Confined to the control
+ * thread.
  */
 final class CallerResponse {
     private final GatewayContext mContext;
@@ -42,7 +42,7 @@
         mExchange.onDisconnect(action);
     }
 
-    /** Returns whether events have been forwarded and more may follow. */
+    /** Returns whether a part has been forwarded and more may follow. */
     boolean isStreaming() {
         return mState == State.STREAMING;
     }
@@ -51,18 +51,28 @@
         return mState == State.ENDED;
     }
 
-    /** Forwards complete events of the endpoint whose response has the given head. */
-    void forward(HttpResponse endpointHead, byte[] events) {
+    /** Forwards a part of the response of the endpoint that sent the given head. */
+    void forward(HttpResponse endpointHead, byte[] content) {
         requireNotEnded();
         if (mState == State.STREAMING) {
-            mExchange.write(events);
+            mExchange.write(content);
         } else {
             HttpResponse head = toCallerResponse(endpointHead);
             mState = State.STREAMING;
-            mExchange.startStream(head, events);
+            mExchange.startStream(head, content);
         }
     }
 
+    /** Returns whether the caller has left so much unread that no more should be forwarded. */
+    boolean isBacklogged() {
+        return mExchange.isBacklogged();
+    }
+
+    /** Runs the action once the response is no longer backlogged. */
+    void whenDrained(Runnable action) {
+        mExchange.whenDrained(action);
+    }
+
     /** Ends with the whole response of an endpoint; a stream is cut off instead. */
     End respond(HttpResponse endpointHead, byte[] body) {
         if (mState != State.NOT_STARTED) {
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -120,6 +120,15 @@
         }
     }
 
+    /** Lets the endpoint send hardly more until {@link #resume}. */
+    void pause() {
+        mOutgoingCall.pause();
+    }
+
+    void resume() {
+        mOutgoingCall.resume();
+    }
+
     @Override
     public void onHead(HttpResponse head) {
         if (mEnded) {
@@ -154,10 +163,10 @@
         if (mEnded) {
             return;
         }
-        boolean mayBeValid = mListener.onData(bytes);
-        mBodyAccount.resize(mListener.heldBytes());
-        if (!mayBeValid) {
+        if (!mListener.onData(bytes)) {
             endWithInvalidResponse("the response is larger than any valid one");
+        } else if (!mBodyAccount.tryResize(mListener.heldBytes())) {
+            endWithInvalidResponse("there is no memory for the response");
         }
     }
 
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -1,12 +1,12 @@
 package org.vanilladoor.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.common.PieceBuffer;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.route.RouteKind;
 import org.vanilladoor.transport.CallFailure;
@@ -17,15 +17,24 @@
  * request.
  *
  * <p>Invariants: only signed event streams are forwarded into a stream, in complete events whose
- * identifiers grow; any other response is forwarded only if it is complete and carries the
- * endpoint's signature. An endpoint failure that does not state that the request was not run is
- * never reported to the caller as not run. Confined to the control thread.
+ * identifiers grow; any other response is forwarded only if it carries the endpoint's signature,
+ * and is complete, or long and of a stated length. An endpoint failure that does not state that the
+ * request was not run is never reported to the caller as not run. Confined to the control thread.
  */
 final class EndpointResponseHandler implements EndpointExchange.Listener {
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
 
     /** Maximum size of one event of a stream; events have a few kilobytes. */
-    private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+    private static final int MAXIMUM_EVENT_BYTES = 256 * 1024;
+
+    /** Size from which on a response that states its length is forwarded as it arrives. */
+    private static final int MINIMUM_FORWARDED_BYTES = 256 * 1024;
+
+    /** Maximum size of the response to a prefill, which names the KV cache. */
+    private static final int MAXIMUM_PREFILL_RESPONSE_BYTES = 64 * 1024;
+
+    /** Maximum size of the body of a response of which only the head matters. */
+    private static final int MAXIMUM_DISCARDED_BYTES = 64 * 1024;
 
     /** Time after the first event at which an engine has survived a prompt. */
     private static final long SURVIVAL_MILLIS = 500;
@@ -36,10 +45,12 @@
     private final GatewayContext mContext;
     private final RequestExecution mExecution;
     private final EndpointCall.Stage mStage;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private final PieceBuffer mBody = PieceBuffer.create();
     private EndpointResponse mResponse;
     private HttpResponse mHead;
-    private boolean mIsEventStream;
+    private Content mContent;
+    private long mDiscardedBytes;
+    private boolean mStatesLength;
     private boolean mHasBegun;
     private long mBegunMillis;
     private boolean mSurvived;
@@ -55,13 +66,33 @@
     public void onHead(HttpResponse head, EndpointResponse response) {
         mHead = head;
         mResponse = response;
-        mIsEventStream =
-                mStage == EndpointCall.Stage.RUN
-                        && mExecution.route().kind().isStreaming()
-                        && response.isSuccess()
-                        && response.isSigned()
-                        && !head.containsHeader(HttpHeaders.CONTENT_ENCODING)
+        mContent = contentOf(head, response);
+        mStatesLength = head.containsHeader(HttpHeaders.CONTENT_LENGTH);
+    }
+
+    /** Returns whether the head states a length that no valid response has. */
+    private boolean isTooLong(HttpResponse head) {
+        Header length = head.getFirstHeader(HttpHeaders.CONTENT_LENGTH);
+        return length != null && Long.parseLong(length.getValue()) > MAXIMUM_RESPONSE_BYTES;
+    }
+
+    private Content contentOf(HttpResponse head, EndpointResponse response) {
+        if (response.isNotRun() || isTooLong(head)) {
+            return Content.DISCARDED;
+        }
+        if (mStage == EndpointCall.Stage.READ_PROMPT) {
+            return Content.COLLECTED;
+        }
+        if (!response.isSigned()) {
+            return Content.DISCARDED;
+        }
+        if (!mExecution.route().kind().isStreaming() || !response.isSuccess()) {
+            return Content.COLLECTED;
+        }
+        boolean isEventStream =
+                !head.containsHeader(HttpHeaders.CONTENT_ENCODING)
                         && isEventStreamType(head.getFirstHeader(HttpHeaders.CONTENT_TYPE));
+        return isEventStream ? Content.EVENTS : Content.DISCARDED;
     }
 
     /** An undeclared type is taken for a stream of events, unless it would go on with another. */
@@ -75,21 +106,53 @@
 
     @Override
     public boolean onData(byte[] bytes) {
-        if (!mIsEventStream) {
-            mBody.writeBytes(bytes);
-            return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
-        }
-        byte[] completeEvents = mExecution.progress().events().add(bytes);
+        return switch (mContent) {
+            case EVENTS -> addEvents(bytes);
+            case COLLECTED -> collect(bytes);
+            case FORWARDED -> {
+                mExecution.forward(mHead, bytes);
+                yield true;
+            }
+            case DISCARDED -> {
+                mDiscardedBytes += bytes.length;
+                yield mDiscardedBytes <= MAXIMUM_DISCARDED_BYTES;
+            }
+        };
+    }
+
+    @Override
+    public long heldBytes() {
+        return mContent == Content.EVENTS
+                ? mExecution.progress().events().partialBytes()
+                : mBody.size();
+    }
+
+    private boolean addEvents(byte[] bytes) {
+        EventAssembler events = mExecution.progress().events();
+        byte[] completeEvents = events.add(bytes);
         if (completeEvents.length > 0) {
             forwardEvents(completeEvents);
         }
-        return !mExecution.progress().events().isOutOfOrder()
-                && mExecution.progress().events().partialBytes() <= MAXIMUM_EVENT_BYTES;
+        return !events.isOutOfOrder() && events.partialBytes() <= MAXIMUM_EVENT_BYTES;
     }
 
-    @Override
-    public long heldBytes() {
-        return mIsEventStream ? mExecution.progress().events().partialBytes() : mBody.size();
+    private boolean collect(byte[] bytes) {
+        mBody.add(bytes);
+        if (mStage == EndpointCall.Stage.READ_PROMPT) {
+            return mBody.size() <= MAXIMUM_PREFILL_RESPONSE_BYTES;
+        }
+        if (mBody.size() >= MINIMUM_FORWARDED_BYTES && mStatesLength && isAnswer()) {
+            mContent = Content.FORWARDED;
+            countStartedUnlessStreaming();
+            mExecution.forward(mHead, mBody.toByteArray());
+            mBody.clear();
+        }
+        return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
+    }
+
+    /** Returns whether the caller gets the response, whatever its body is. */
+    private boolean isAnswer() {
+        return !mResponse.isServerError() && !isUntruePromise() && !mExecution.isStreaming();
     }
 
     private void forwardEvents(byte[] events) {
@@ -152,6 +215,11 @@
 
     private void onRunResponse(Endpoint endpoint) {
         long nowMillis = MonotonicClock.nowMillis();
+        if (mContent == Content.FORWARDED) {
+            mContext.placement().recordSuccess(endpoint, nowMillis);
+            mExecution.completeStream(endpoint.name() + " with status " + mResponse.status());
+            return;
+        }
         if (mExecution.route().kind().isStreaming() && mResponse.isSuccess()) {
             onStreamResponse(endpoint);
             return;
@@ -190,7 +258,7 @@
     }
 
     private void onStreamResponse(Endpoint endpoint) {
-        if (!mIsEventStream) {
+        if (mContent != Content.EVENTS) {
             handleBrokenResponse(
                     endpoint,
                     "the response is not a signed event stream; status " + mResponse.status());
@@ -208,7 +276,8 @@
     }
 
     private boolean mayRunAgain() {
-        return mExecution.route().allowsRetryAfterExecution()
+        return mContent != Content.FORWARDED
+                && mExecution.route().allowsRetryAfterExecution()
                 && mExecution.progress().events().isResumable()
                 && mExecution.progress().possibleRuns() < mExecution.route().maximumExecutions();
     }
@@ -307,4 +376,16 @@
             mExecution.endWithFailure(Refusal.OUTCOME_UNKNOWN, reason);
         }
     }
+
+    /** What is done with the body of the response. */
+    private enum Content {
+        /** Forwarded in complete events. */
+        EVENTS,
+        /** Kept until it is complete. */
+        COLLECTED,
+        /** Forwarded as it arrives; the caller has got its start. */
+        FORWARDED,
+        /** Not used, since the head decides what happens. */
+        DISCARDED
+    }
 }
--- a/src/main/java/org/vanilladoor/gateway/EventAssembler.java
+++ b/src/main/java/org/vanilladoor/gateway/EventAssembler.java
@@ -1,6 +1,5 @@
 package org.vanilladoor.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
@@ -14,7 +13,11 @@
 final class EventAssembler {
     private static final String IDENTIFIER_FIELD = "id:";
     private static final String DATA_FIELD = "data";
-    private final ByteArrayOutputStream mPartial = new ByteArrayOutputStream();
+
+    /** The start of an event, which contains no end of one. */
+    private byte[] mPartial = new byte[0];
+
+    private int mPartialBytes;
     private final EventSequence mSequence;
     private boolean mOutOfOrder;
 
@@ -36,31 +39,48 @@
         if (mOutOfOrder) {
             return new byte[0];
         }
-        mPartial.writeBytes(bytes);
-        byte[] buffered = mPartial.toByteArray();
-        int end = endOfAcceptedEvents(buffered);
-        mPartial.reset();
-        if (!mOutOfOrder) {
-            mPartial.write(buffered, end, buffered.length - end);
+        int scanStart = Math.max(1, mPartialBytes);
+        append(bytes);
+        int end = endOfAcceptedEvents(scanStart);
+        byte[] events = Arrays.copyOf(mPartial, end);
+        if (mOutOfOrder) {
+            discardPartial();
+        } else if (end > 0) {
+            mPartialBytes -= end;
+            mPartial = Arrays.copyOfRange(mPartial, end, end + mPartialBytes);
+        }
+        return events;
+    }
+
+    private void append(byte[] bytes) {
+        int size = mPartialBytes + bytes.length;
+        if (size > mPartial.length) {
+            mPartial = Arrays.copyOf(mPartial, Math.max(size, 2 * mPartialBytes));
         }
-        return Arrays.copyOf(buffered, end);
+        System.arraycopy(bytes, 0, mPartial, mPartialBytes, bytes.length);
+        mPartialBytes = size;
+    }
+
+    private void discardPartial() {
+        mPartial = new byte[0];
+        mPartialBytes = 0;
     }
 
     /** Begins a further run and discards the start of an event that the last one left behind. */
     void startRun() {
-        mPartial.reset();
+        discardPartial();
         mOutOfOrder = false;
         mSequence.startRun();
     }
 
     /** Returns the size of the event that has begun but is not complete. */
     int partialBytes() {
-        return mPartial.size();
+        return mPartialBytes;
     }
 
     /** Returns whether the bytes added so far end at the end of an event. */
     boolean endsAtEventBoundary() {
-        return mPartial.size() == 0;
+        return mPartialBytes == 0;
     }
 
     /** Returns whether the run has sent an event that does not follow the last one. */
@@ -78,13 +98,14 @@
         return mSequence.lastIdentifier();
     }
 
-    private int endOfAcceptedEvents(byte[] bytes) {
+    private int endOfAcceptedEvents(int scanStart) {
         int start = 0;
-        for (int index = 1; index < bytes.length; index++) {
-            if (bytes[index] != '\n' || !endsEmptyLine(bytes, index)) {
+        for (int index = scanStart; index < mPartialBytes; index++) {
+            if (mPartial[index] != '\n' || !endsEmptyLine(mPartial, index)) {
                 continue;
             }
-            if (!tryAccept(new String(bytes, start, index + 1 - start, StandardCharsets.UTF_8))) {
+            String event = new String(mPartial, start, index + 1 - start, StandardCharsets.UTF_8);
+            if (!tryAccept(event)) {
                 mOutOfOrder = true;
                 return start;
             }
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.vanilladoor.route.AuthorizedTeam;
 import org.vanilladoor.route.Route;
 import org.vanilladoor.route.ServingConfiguration;
+import org.vanilladoor.transport.BodyRejection;
 import org.vanilladoor.transport.ConnectionPool;
 import org.vanilladoor.transport.FrontExchange;
 
@@ -100,11 +101,11 @@
         return mOpenRequests.size();
     }
 
-    /** Handles a request whose body has been received, or was too large. */
+    /** Handles a request whose body has been received, or could not be kept. */
     public void handle(FrontExchange exchange) {
         mContext.metrics().count("requests.arrived");
-        if (exchange.isBodyTooLarge()) {
-            refuse(exchange, Refusal.TOO_LARGE, "-", "the body is larger than allowed");
+        if (exchange.bodyRejection().isPresent()) {
+            refuseWithoutBody(exchange, exchange.bodyRejection().get());
             return;
         }
         CallerRequest request;
@@ -130,6 +131,15 @@
         route(exchange, request, configuration.get());
     }
 
+    private void refuseWithoutBody(FrontExchange exchange, BodyRejection rejection) {
+        switch (rejection) {
+            case TOO_LARGE ->
+                    refuse(exchange, Refusal.TOO_LARGE, "-", "the body is larger than allowed");
+            case NO_MEMORY ->
+                    refuse(exchange, Refusal.NO_MEMORY, "-", "there is no memory for the body");
+        }
+    }
+
     private void route(
             FrontExchange exchange, CallerRequest request, ServingConfiguration configuration) {
         long ageMillis = mContext.state().confirmationAgeMillis();
--- a/src/main/java/org/vanilladoor/gateway/Refusal.java
+++ b/src/main/java/org/vanilladoor/gateway/Refusal.java
@@ -27,6 +27,8 @@
     LIMITED(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** The request can not be served before its deadline. */
     OVERLOADED(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
+    /** The process has no memory for the request. */
+    NO_MEMORY(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** A part of the prompt crashes engines, so that the request is not sent to any. */
     QUARANTINED(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** No endpoint ran the request, and no further call is allowed. */
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -288,9 +288,14 @@
         finish(mResponse.complete(), reason);
     }
 
-    /** Forwards complete events of the endpoint whose response has the given head. */
-    void forward(HttpResponse endpointHead, byte[] events) {
-        mResponse.forward(endpointHead, events);
+    /** Forwards a part of the response of the endpoint that sent the given head. */
+    void forward(HttpResponse endpointHead, byte[] content) {
+        mResponse.forward(endpointHead, content);
+        if (mResponse.isBacklogged()) {
+            EndpointExchange call = mCall;
+            call.pause();
+            mResponse.whenDrained(call::resume);
+        }
     }
 
     private void refuse(Refusal refusal, String reason) {
--- a/src/main/java/org/vanilladoor/platform/MetricsPage.java
+++ b/src/main/java/org/vanilladoor/platform/MetricsPage.java
@@ -65,6 +65,10 @@
                     page,
                     "memory_held_bytes{use=\"" + use.name().toLowerCase(Locale.ROOT) + "\"}",
                     mMemory.heldBytes(use));
+            appendLine(
+                    page,
+                    "memory_rejections_total{use=\"" + use.name().toLowerCase(Locale.ROOT) + "\"}",
+                    mMemory.rejections(use));
         }
         for (Map.Entry<String, Counter> counter : mRegistry.getCounters().entrySet()) {
             appendLine(
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -94,6 +94,7 @@
                                 Http1Config.custom()
                                         .setMaxLineLength(MAXIMUM_LINE_BYTES)
                                         .setMaxHeaderCount(MAXIMUM_HEADERS)
+                                        .setInitialWindowSize(OutgoingExchange.WINDOW_BYTES)
                                         .build()),
                         null,
                         e -> LOG.debug("links: A connection failed: {}.", e.toString()),
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -1,12 +1,12 @@
 package org.vanilladoor.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -36,28 +36,33 @@
 /**
  * One request of a caller and its response.
  *
- * <p>The request is passed to the receiver once its body has been read. Invariants: at most one
- * response is sent; nothing is sent after its end; what can't be sent as a response, because
- * another has begun or HttpCore rejects it, closes the connection, so that the caller sees an end;
- * unread output is buffered up to a limit, beyond which the connection is closed, too. HttpCore
- * calls the handler methods on its own thread, the control thread sends the response; state shared
- * by the two is guarded by this object.
+ * <p>The request is passed to the receiver once its body has been read, or can't be kept.
+ * Invariants: at most one response is sent; nothing is sent after its end; what can't be sent as a
+ * response, because another has begun or HttpCore rejects it, closes the connection, so that the
+ * caller sees an end; unread output is buffered up to a limit, beyond which the connection is
+ * closed, too. HttpCore calls the handler methods on its own thread, the control thread sends the
+ * response; state shared by the two is guarded by this object.
  */
 public final class FrontExchange implements AsyncServerExchangeHandler {
-    /** Maximum output buffered for a slow caller; the response of a model is far smaller. */
+    /** Maximum output buffered for a slow caller. */
     private static final int MAXIMUM_UNSENT_BYTES = 4 * 1024 * 1024;
 
+    /** Unread output from which on no more should be written. */
+    private static final int BACKLOG_BYTES = 64 * 1024;
+
+    /** Output passed to a socket at once; the JDK copies all that it is given, read or not. */
+    private static final int MAXIMUM_WRITE_BYTES = 64 * 1024;
+
     private static final String MALFORMED_RESPONSE =
             "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
+    private static final Runnable NO_ACTION = () -> {};
     private static final Logger LOG = LogManager.getLogger(FrontExchange.class);
     private final ControlLoop mControl;
     private final CloseDetectingSession mSession;
-    private final int mMaximumBodyBytes;
     private final Consumer<FrontExchange> mReceiver;
-    private final MemoryBudget.Account mBodyAccount;
+    private final RequestBody mBody;
     private final MemoryBudget.Account mOutputAccount;
-    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final Deque<ByteBuffer> mUnsent = new ArrayDeque<>();
     private final AtomicInteger mOpenExchanges;
     private final AtomicBoolean mReleased = new AtomicBoolean();
@@ -65,9 +70,12 @@
     private ResponseChannel mResponseChannel;
     private HttpContext mContext;
     private DataStreamChannel mOutput;
-    private Runnable mOnDisconnect = () -> {};
+    private Runnable mOnDisconnect = NO_ACTION;
+    private Runnable mOnDrained = NO_ACTION;
     private int mUnsentBytes;
-    private boolean mBodyTooLarge;
+    private boolean mPassedToReceiver;
+    private boolean mRequestEnded;
+    private Runnable mDeferred = NO_ACTION;
     private ResponseState mResponse = ResponseState.NOT_STARTED;
     private boolean mEndSent;
     private boolean mDisconnected;
@@ -82,10 +90,9 @@
         mOpenExchanges = openExchanges;
         mOpenExchanges.incrementAndGet();
         mControl = control;
-        mBodyAccount = memory.open(MemoryBudget.Use.REQUEST_BODY);
+        mBody = RequestBody.create(maximumBodyBytes, memory);
         mOutputAccount = memory.open(MemoryBudget.Use.RESPONSE_OUTPUT);
         mSession = session;
-        mMaximumBodyBytes = maximumBodyBytes;
         mReceiver = receiver;
     }
 
@@ -94,14 +101,14 @@
         return mRequest;
     }
 
-    /** Returns the body of the request. */
+    /** Returns the body of the request, which must not be modified. */
     public byte[] body() {
         return mBody.toByteArray();
     }
 
-    /** Returns whether the body exceeded the limit; in that case {@link #body} is empty. */
-    public boolean isBodyTooLarge() {
-        return mBodyTooLarge;
+    /** Returns why the body was not kept, if so; in that case {@link #body} is empty. */
+    public Optional<BodyRejection> bodyRejection() {
+        return mBody.rejection();
     }
 
     /**
@@ -156,6 +163,22 @@
         }
     }
 
+    /** Returns whether the caller has left so much unread that no more should be written. */
+    public synchronized boolean isBacklogged() {
+        return mUnsentBytes > BACKLOG_BYTES;
+    }
+
+    /** Runs the action on the control thread once the exchange is no longer backlogged. */
+    public void whenDrained(Runnable action) {
+        synchronized (this) {
+            if (isBacklogged()) {
+                mOnDrained = action;
+                return;
+            }
+        }
+        mControl.execute(action);
+    }
+
     /** Ends a response started with {@link #startStream}. */
     public void end() {
         if (tryAdvance(ResponseState.STREAMING, ResponseState.ENDED)) {
@@ -185,8 +208,13 @@
         mRequest = request;
         mResponseChannel = responseChannel;
         mContext = context;
-        if (entity == null) {
-            mControl.execute(this::passToReceiver);
+        if (entity != null) {
+            mBody.announce(entity.getContentLength());
+        } else {
+            mRequestEnded = true;
+        }
+        if (entity == null || mBody.rejection().isPresent()) {
+            passOn();
         } else if (request.containsHeader(HttpHeaders.EXPECT)) {
             responseChannel.sendInformation(new BasicHttpResponse(HttpStatus.SC_CONTINUE), context);
         }
@@ -199,22 +227,33 @@
 
     @Override
     public void consume(ByteBuffer source) {
-        if (mBodyTooLarge || mBody.size() + source.remaining() > mMaximumBodyBytes) {
-            mBodyTooLarge = true;
-            mBody.reset();
-            mBodyAccount.resize(0);
-            source.position(source.limit());
-            return;
+        mBody.add(source);
+        if (mBody.rejection().isPresent()) {
+            passOn();
+        }
+        if (mBody.mayBeEndless()) {
+            LOG.warn("front: Closing a connection with a body that may have no end.");
+            disconnect();
         }
-        byte[] bytes = new byte[source.remaining()];
-        source.get(bytes);
-        mBody.write(bytes, 0, bytes.length);
-        mBodyAccount.resize(mBody.size());
     }
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        mControl.execute(this::passToReceiver);
+        Runnable deferred;
+        synchronized (this) {
+            mRequestEnded = true;
+            deferred = mDeferred;
+        }
+        passOn();
+        deferred.run();
+    }
+
+    /** Passes the request to the receiver, once, from the I/O thread. */
+    private void passOn() {
+        if (!mPassedToReceiver) {
+            mPassedToReceiver = true;
+            mControl.execute(this::passToReceiver);
+        }
     }
 
     private void passToReceiver() {
@@ -236,25 +275,43 @@
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
+        Runnable onDrained = NO_ACTION;
         synchronized (this) {
             mOutput = channel;
             if (mDisconnected) {
                 return;
             }
-            while (!mUnsent.isEmpty()) {
-                ByteBuffer next = mUnsent.peek();
-                int written = channel.write(next);
-                setUnsentBytes(mUnsentBytes - Math.max(0, written));
-                if (next.hasRemaining()) {
-                    return;
-                }
-                mUnsent.poll();
+            writeUnsent(channel);
+            if (!isBacklogged()) {
+                onDrained = mOnDrained;
+                mOnDrained = NO_ACTION;
             }
-            if (mResponse == ResponseState.ENDED && !mEndSent) {
+            if (mUnsent.isEmpty() && mResponse == ResponseState.ENDED && !mEndSent) {
                 mEndSent = true;
                 channel.endStream(null);
             }
         }
+        if (onDrained != NO_ACTION) {
+            mControl.execute(onDrained);
+        }
+    }
+
+    /** Writes what the connection takes. */
+    private void writeUnsent(DataStreamChannel channel) throws IOException {
+        while (!mUnsent.isEmpty()) {
+            ByteBuffer next = mUnsent.peek();
+            int count = Math.min(next.remaining(), MAXIMUM_WRITE_BYTES);
+            ByteBuffer part = next.slice(next.position(), count);
+            channel.write(part);
+            next.position(next.position() + part.position());
+            setUnsentBytes(mUnsentBytes - part.position());
+            if (part.hasRemaining()) {
+                return;
+            }
+            if (!next.hasRemaining()) {
+                mUnsent.poll();
+            }
+        }
     }
 
     @Override
@@ -289,7 +346,7 @@
     public void releaseResources() {
         if (mReleased.compareAndSet(false, true)) {
             mOpenExchanges.decrementAndGet();
-            mBodyAccount.close();
+            mBody.release();
             mOutputAccount.close();
         }
         handleDisconnect();
@@ -324,7 +381,7 @@
                 return;
             }
             mDisconnected = true;
-            action = mEndSent ? () -> {} : mOnDisconnect;
+            action = mEndSent ? NO_ACTION : mOnDisconnect;
             mUnsent.clear();
             setUnsentBytes(0);
         }
@@ -342,6 +399,27 @@
                 mUnsent.add(firstBytes);
             }
         }
+        if (!tryDefer(head, entity)) {
+            send(head, entity);
+        }
+    }
+
+    /**
+     * Keeps a response that ends the connection until the request has been read; closing it earlier
+     * would reset it, and the caller might not get the response.
+     */
+    private synchronized boolean tryDefer(HttpResponse head, EntityDetails entity) {
+        boolean isDeferred =
+                !mRequestEnded
+                        && !(MessageFraming.keepsConnection(mRequest)
+                                && MessageFraming.keepsConnection(head));
+        if (isDeferred) {
+            mDeferred = () -> send(head, entity);
+        }
+        return isDeferred;
+    }
+
+    private void send(HttpResponse head, EntityDetails entity) {
         try {
             mResponseChannel.sendResponse(head, entity, mContext);
         } catch (HttpException | IOException e) {
--- /dev/null
+++ b/src/main/java/org/vanilladoor/transport/HeadInput.java
@@ -0,0 +1,92 @@
+package org.vanilladoor.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/**
+ * Decorates the input of a parser and limits the size of a whole head; HttpCore limits only the
+ * length of a line and the number of lines.
+ *
+ * <p>Confined to the I/O thread.
+ */
+final class HeadInput implements SessionInputBuffer {
+    /** Maximum size of a head; those of callers and endpoints have less than a kilobyte. */
+    static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
+
+    private static final int LINE_END_BYTES = 2;
+    private SessionInputBuffer mBuffer;
+    private int mHeadBytes;
+
+    private HeadInput() {}
+
+    static HeadInput create() {
+        return new HeadInput();
+    }
+
+    /** Returns this object, which reads from the given buffer from now on. */
+    HeadInput of(SessionInputBuffer buffer) {
+        mBuffer = buffer;
+        return this;
+    }
+
+    /** Begins a further head. */
+    void reset() {
+        mHeadBytes = 0;
+    }
+
+    @Override
+    public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
+        int lengthBefore = line.length();
+        boolean isComplete = mBuffer.readLine(line, endOfStream);
+        mHeadBytes += line.length() - lengthBefore + (isComplete ? LINE_END_BYTES : 0);
+        if (mHeadBytes > MAXIMUM_HEAD_BYTES) {
+            throw new MessageConstraintException("the head is too large");
+        }
+        return isComplete;
+    }
+
+    @Override
+    public int length() {
+        return mBuffer.length();
+    }
+
+    @Override
+    public boolean hasData() {
+        return mBuffer.hasData();
+    }
+
+    @Override
+    public int fill(ReadableByteChannel channel) throws IOException {
+        return mBuffer.fill(channel);
+    }
+
+    @Override
+    public int read() {
+        return mBuffer.read();
+    }
+
+    @Override
+    public int read(ByteBuffer target, int maximumLength) {
+        return mBuffer.read(target, maximumLength);
+    }
+
+    @Override
+    public int read(ByteBuffer target) {
+        return mBuffer.read(target);
+    }
+
+    @Override
+    public int read(WritableByteChannel target, int maximumLength) throws IOException {
+        return mBuffer.read(target, maximumLength);
+    }
+
+    @Override
+    public int read(WritableByteChannel target) throws IOException {
+        return mBuffer.read(target);
+    }
+}
--- a/src/main/java/org/vanilladoor/transport/MessageFraming.java
+++ b/src/main/java/org/vanilladoor/transport/MessageFraming.java
@@ -1,10 +1,15 @@
 package org.vanilladoor.transport;
 
+import java.util.Arrays;
+import java.util.Locale;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.ProtocolVersion;
 
 /**
  * How the body of any message is delimited, as in RFC 9112, section 6.
@@ -32,4 +37,13 @@
             throw new ProtocolException("invalid length of the body");
         }
     }
+
+    /** Returns whether the sender of the head keeps the connection open after the exchange. */
+    static boolean keepsConnection(HttpMessage head) {
+        ProtocolVersion version = head.getVersion();
+        return (version == null || HttpVersion.HTTP_1_1.equals(version))
+                && Arrays.stream(head.getHeaders(HttpHeaders.CONNECTION))
+                        .map(header -> header.getValue().toLowerCase(Locale.ROOT))
+                        .noneMatch(value -> value.contains(HeaderElements.CLOSE));
+    }
 }
--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -1,7 +1,10 @@
 package org.vanilladoor.transport;
 
+import java.io.IOException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
 
@@ -13,6 +16,7 @@
  * reused only after a complete request and a complete response. Confined to the control thread.
  */
 public final class OutgoingCall implements ConnectionPool.ConnectListener {
+    private static final Logger LOG = LogManager.getLogger(OutgoingCall.class);
     private final ControlLoop mControl;
     private final ConnectionPool mPool;
     private final HostPort mAddress;
@@ -23,6 +27,8 @@
     private ConnectionPool.PooledConnection mConnection;
     private OutgoingExchange mExchange;
     private boolean mDone;
+    private boolean mPaused;
+    private int mUnreturnedBytes;
     private boolean mKeepConnection = true;
 
     OutgoingCall(
@@ -53,6 +59,17 @@
         }
     }
 
+    /** Lets the peer send no more than a window of its response until {@link #resume}. */
+    public void pause() {
+        mPaused = true;
+    }
+
+    /** Ends a pause. */
+    public void resume() {
+        mPaused = false;
+        returnCapacity();
+    }
+
     /**
      * Returns whether any of the request may have reached the peer.
      *
@@ -90,7 +107,21 @@
     void onData(OutgoingExchange exchange, byte[] bytes) {
         if (!isOver(exchange)) {
             mListener.onData(bytes);
+            mUnreturnedBytes += bytes.length;
+            returnCapacity();
+        }
+    }
+
+    private void returnCapacity() {
+        if (mPaused || mDone) {
+            return;
+        }
+        try {
+            mExchange.returnCapacity(mUnreturnedBytes);
+        } catch (IOException e) {
+            LOG.debug("links: A connection takes no capacity: {}.", e.toString());
         }
+        mUnreturnedBytes = 0;
     }
 
     void onEnd(OutgoingExchange exchange, boolean isRequestComplete) {
--- a/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingExchange.java
@@ -1,6 +1,5 @@
 package org.vanilladoor.transport;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -18,22 +17,35 @@
 import org.apache.hc.core5.http.protocol.HttpContext;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.MemoryBudget;
+import org.vanilladoor.common.PieceBuffer;
 
 /**
  * The request and the response of a call on one connection.
  *
  * <p>Invariants: the request is sent at most once, and only while no byte that belongs to no
  * response has arrived on the connection. HttpCore calls the handler methods on its own thread; the
- * call is notified on the control thread. Whether the request was sent is guarded by a lock.
+ * call is notified on the control thread. No more than {@link #WINDOW_BYTES} of the body and what
+ * one read brings wait for it. Whether the request was sent, and the input, are guarded by locks.
  */
 final class OutgoingExchange implements AsyncClientExchangeHandler {
+    /** Bytes that the peer may send before they are handled. */
+    static final int WINDOW_BYTES = 64 * 1024;
+
+    /** Each return wakes up the I/O thread. */
+    private static final int MINIMUM_RETURNED_BYTES = WINDOW_BYTES / 2;
+
+    /** Part of a body passed to a socket at once; the JDK copies all that it is given. */
+    private static final int MAXIMUM_WRITE_BYTES = 64 * 1024;
+
     private final ControlLoop mControl;
     private final OutgoingCall mCall;
     private final ConnectionPool.PooledConnection mConnection;
     private final HttpRequest mRequest;
     private final ByteBuffer mBody;
     private final MemoryBudget.Account mInputAccount;
-    private final ByteArrayOutputStream mInput = new ByteArrayOutputStream();
+    private final PieceBuffer mInput = PieceBuffer.create();
+    private CapacityChannel mCapacity;
+    private int mReturnableBytes;
     private final Object mSendLock = new Object();
     private boolean mSent;
     private boolean mMayNotBeSent;
@@ -108,7 +120,14 @@
 
     @Override
     public void produce(DataStreamChannel channel) throws IOException {
-        channel.write(mBody);
+        int count;
+        do {
+            int size = Math.min(mBody.remaining(), MAXIMUM_WRITE_BYTES);
+            ByteBuffer part = mBody.slice(mBody.position(), size);
+            channel.write(part);
+            count = part.position();
+            mBody.position(mBody.position() + count);
+        } while (count > 0 && mBody.hasRemaining());
         if (!mBody.hasRemaining()) {
             channel.endStream();
             mRequestComplete = true;
@@ -130,9 +149,29 @@
         }
     }
 
+    /** Called when the peer has sent as much as it may until input has been handled. */
     @Override
     public void updateCapacity(CapacityChannel capacity) throws IOException {
-        capacity.update(Integer.MAX_VALUE);
+        synchronized (mInput) {
+            mCapacity = capacity;
+        }
+        returnCapacity(0);
+    }
+
+    /** Lets the peer send further bytes in place of those that have been handled. */
+    void returnCapacity(int bytes) throws IOException {
+        CapacityChannel capacity;
+        int returnedBytes;
+        synchronized (mInput) {
+            mReturnableBytes += bytes;
+            if (mCapacity == null || mReturnableBytes < MINIMUM_RETURNED_BYTES) {
+                return;
+            }
+            capacity = mCapacity;
+            returnedBytes = mReturnableBytes;
+            mReturnableBytes = 0;
+        }
+        capacity.update(returnedBytes);
     }
 
     @Override
@@ -143,7 +182,7 @@
         boolean isFirst;
         synchronized (mInput) {
             isFirst = mInput.size() == 0;
-            mInput.writeBytes(bytes);
+            mInput.add(bytes);
             mInputAccount.resize(mInput.size());
         }
         if (isFirst) {
@@ -156,7 +195,7 @@
         byte[] bytes;
         synchronized (mInput) {
             bytes = mInput.toByteArray();
-            mInput.reset();
+            mInput.clear();
             mInputAccount.resize(0);
         }
         mCall.onData(this, bytes);
--- a/src/main/java/org/vanilladoor/transport/RequestParser.java
+++ b/src/main/java/org/vanilladoor/transport/RequestParser.java
@@ -17,6 +17,7 @@
  */
 final class RequestParser implements NHttpMessageParser<HttpRequest> {
     private final NHttpMessageParser<HttpRequest> mParser;
+    private final HeadInput mInput = HeadInput.create();
 
     private RequestParser(NHttpMessageParser<HttpRequest> parser) {
         mParser = parser;
@@ -31,13 +32,15 @@
     @Override
     public void reset() {
         mParser.reset();
+        mInput.reset();
     }
 
     @Override
     public HttpRequest parse(SessionInputBuffer buffer, boolean endOfStream)
             throws IOException, HttpException {
-        HttpRequest head = mParser.parse(buffer, endOfStream);
+        HttpRequest head = mParser.parse(mInput.of(buffer), endOfStream);
         if (head != null) {
+            mInput.reset();
             RequestFraming.requireUnambiguous(head);
         }
         return head;
--- a/src/main/java/org/vanilladoor/transport/ResponseFraming.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseFraming.java
@@ -1,11 +1,7 @@
 package org.vanilladoor.transport;
 
-import java.util.Arrays;
-import java.util.Locale;
-import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
-import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.ProtocolException;
 
 /**
@@ -33,9 +29,6 @@
 
     /** Returns whether the peer keeps the connection open after the response. */
     public static boolean allowsReuseAfter(HttpResponse head) {
-        return HttpVersion.HTTP_1_1.equals(head.getVersion())
-                && Arrays.stream(head.getHeaders(HttpHeaders.CONNECTION))
-                        .map(header -> header.getValue().toLowerCase(Locale.ROOT))
-                        .noneMatch(value -> value.contains(HeaderElements.CLOSE));
+        return MessageFraming.keepsConnection(head);
     }
 }
--- a/src/main/java/org/vanilladoor/transport/ResponseParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseParser.java
@@ -18,6 +18,7 @@
 final class ResponseParser implements NHttpMessageParser<HttpResponse> {
     private final NHttpMessageParser<HttpResponse> mParser;
     private final ResponseBoundary mBoundary;
+    private final HeadInput mInput = HeadInput.create();
 
     private ResponseParser(NHttpMessageParser<HttpResponse> parser, ResponseBoundary boundary) {
         mParser = parser;
@@ -36,6 +37,7 @@
     @Override
     public void reset() {
         mParser.reset();
+        mInput.reset();
     }
 
     @Override
@@ -45,8 +47,9 @@
             mBoundary.requireResponseDue();
         }
         // HttpCore would take the end of the connection for the end of a head.
-        HttpResponse head = mParser.parse(buffer, false);
+        HttpResponse head = mParser.parse(mInput.of(buffer), false);
         if (head != null) {
+            mInput.reset();
             ResponseFraming.requireUnambiguous(head);
             mBoundary.onHeadParsed(head);
         } else if (endOfStream && mBoundary.isResponseDue()) {
--- a/src/test/java/org/vanilladoor/platform/EndlessResponseTests.java
+++ b/src/test/java/org/vanilladoor/platform/EndlessResponseTests.java
@@ -28,6 +28,19 @@
         assertOutcomeUnknown("/once/x", received -> Answer.endless(head(received), "A: b\r\n"));
     }
 
+    @Test
+    void interimResponsesWithoutEndAreABrokenResponse() throws IOException {
+        assertOutcomeUnknown(
+                "/once/x", received -> Answer.endless("", "HTTP/1.1 102 Processing\r\n\r\n"));
+    }
+
+    @Test
+    void chunksOfOneByteWithoutEndAreABrokenResponse() throws IOException {
+        assertOutcomeUnknown(
+                "/once/x",
+                received -> Answer.endless(head(received) + CHUNKED, "1\r\nx\r\n".repeat(1_024)));
+    }
+
     @Test
     void aBodyWithoutEndIsABrokenResponse() throws IOException {
         assertOutcomeUnknown(
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -48,9 +48,13 @@
 /** Runs a gateway on real connections, with helpers that act as its callers and endpoints. */
 abstract class GatewayFixture {
     static final long TIMEOUT_MILLIS = 1_200;
+
+    /** About what a process of the operators' platform has for messages. */
+    static final long MEMORY_BYTES = 40 * 1024 * 1024;
+
     final ControlLoop mControl = ControlLoop.start("control");
-    final ConnectionPool mConnections =
-            ConnectionPool.start(mControl, MemoryBudget.ofHeap(), anomaly -> {});
+    final MemoryBudget mMemory = MemoryBudget.of(MEMORY_BYTES);
+    final ConnectionPool mConnections = ConnectionPool.start(mControl, mMemory, anomaly -> {});
     final ServingState mState = ServingState.create();
     private final EndpointDirectory mDirectory = EndpointDirectory.create();
     final List<String> mStartedTeams = new CopyOnWriteArrayList<>();
@@ -86,14 +90,14 @@
                                 retryBudgets(),
                                 mStartedTeams::add,
                                 new IgnoringLoadSink(),
-                                MemoryBudget.ofHeap(),
+                                mMemory,
                                 GatewayMetrics.create(new MetricRegistry())),
                         new SplittableRandom(4));
         mServer =
                 FrontServer.start(
                         new HostPort("127.0.0.1", 0),
                         mControl,
-                        MemoryBudget.ofHeap(),
+                        mMemory,
                         8_192,
                         () -> 1_000,
                         gateway::handle);
