Answer the requests that are still open at the end of a planned stop

What callers saw: a request whose endpoint was still at work shortly before the end of the grace period got no answer; its connection was closed, also if it may not be repeated.

Cause: the stop closed the server with requests open, without ending them.

Why it works: all open requests are ended first, with 502 if an endpoint may have run them, else with 503; a stream that has begun is cut off as before. 0.2 s of the margin of 0.5 s are for writing.

Evidence: PlannedStopTests, a serving process with a grace period of 4 s. Before, the request that hangs gets an empty response; after, 502. The other three tests (a body that arrives late, a request that ends in time, a stream) passed before.

--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -101,6 +102,11 @@
         return mOpenRequests.size();
     }
 
+    /** Ends all requests in progress, since the process is about to end. */
+    public void endOpenRequests() {
+        List.copyOf(mOpenRequests).forEach(RequestExecution::endBeforeStop);
+    }
+
     /** Handles a request whose body has been received, or could not be kept. */
     public void handle(FrontExchange exchange) {
         mContext.metrics().count("requests.arrived");
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -323,6 +323,14 @@
         refuse(mProgress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.OVERLOADED, reason);
     }
 
+    /** Ends the request because its endpoint takes longer than the process may live. */
+    void endBeforeStop() {
+        if (!isDone()) {
+            abandonCall();
+            endWithFailure(Refusal.STOPPING, "the process ends");
+        }
+    }
+
     private void abandonCall() {
         if (mCall != null) {
             // Abandoning comes first: only then is it final whether the call has been sent.
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -67,6 +67,9 @@
     /** Time by which the process stops earlier than the platform would kill it. */
     private static final long STOP_MARGIN_MILLIS = 500;
 
+    /** Part of the margin in which the last responses are written. */
+    private static final long LAST_RESPONSES_MILLIS = 200;
+
     /** Interval at which a stopping process checks whether requests are still open. */
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
@@ -211,8 +214,11 @@
                 break;
             }
         }
+        // Callers get an answer, which a connection that is just closed does not give.
+        mControl.execute(mGateway::endOpenRequests);
+        long closeMillis = deadlineMillis + LAST_RESPONSES_MILLIS;
         mCallerServer.stop(
-                Duration.ofMillis(Math.max(0, deadlineMillis - MonotonicClock.nowMillis())));
+                Duration.ofMillis(Math.max(0, closeMillis - MonotonicClock.nowMillis())));
         EventLog.write("process", "stopped", "open", mGateway.openRequests());
         mOperatorServer.close();
         mConnections.close();
--- a/src/test/java/org/vanilladoor/platform/AmbiguousHeadTests.java
+++ b/src/test/java/org/vanilladoor/platform/AmbiguousHeadTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
@@ -64,6 +65,36 @@
                 .startsWith("HTTP/1.1 502");
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "/once/x, Content-Length: 4",
+        "/once/x, Transfer-Encoding: chunked",
+        "/once/x, X-Own: 1",
+        "/safe/x, Content-Length: 4",
+        "/chat/x, Transfer-Encoding: chunked",
+        "/chat/x, Content-Type: text/event-stream",
+        "/resume/x, Transfer-Encoding: chunked"
+    })
+    void aHeadThatIsCutOffIsNoSuccessOnAnyRoute(String path, String header) throws IOException {
+        String rest = header + "\r\n\r\n";
+        int wholeLength = ScriptedEndpoint.head(new Received("", ""), 200).length() + rest.length();
+        for (int missing = 1; missing < wholeLength; missing++) {
+            int cut = missing;
+            ScriptedEndpoint endpoint =
+                    endpoint(
+                            "e",
+                            received -> {
+                                String head = ScriptedEndpoint.head(received, 200) + rest;
+                                int length = Math.max(0, head.length() - cut);
+                                return new Answer(head.substring(0, length), End.CLOSE);
+                            });
+            assertWithMessage("%s bytes missing", missing)
+                    .that(call("POST", path, "body"))
+                    .startsWith("HTTP/1.1 50");
+            endpoint.close();
+        }
+    }
+
     private void assertCutOffHeadIsNotForwarded(int status, int missing) throws IOException {
         ScriptedEndpoint endpoint =
                 endpoint(
