Record how late the control thread is

Nothing told a late control thread from a paused process, or from a fault of one stream.

The page has `control_delay_millis`, and a `process delayed` line is written from 250 ms on.

--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -73,6 +73,9 @@
     /** Interval at which a stopping process checks whether requests are still open. */
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
+    /** Delay of the control thread that is logged. */
+    private static final long MAXIMUM_DELAY_MILLIS = 250;
+
     private static final int BROKEN_EXIT_CODE = 3;
     private final PlatformSettings mSettings;
     private final ControlLoop mControl;
@@ -83,12 +86,17 @@
     private final FrontServer mOperatorServer;
     private final MetricsPage mMetricsPage;
     private final FrontServer mCallerServer;
+    private final GatewayMetrics mMetrics;
+
+    /** Time at which {@link #maintain} is due; for the control thread only. */
+    private long mNextMaintenanceMillis = Long.MAX_VALUE;
 
     private ServeProcess(PlatformSettings settings) throws IOException {
         mSettings = settings;
         mControl = ControlLoop.start("control");
         MetricRegistry registry = new MetricRegistry();
         GatewayMetrics metrics = GatewayMetrics.create(registry);
+        mMetrics = metrics;
         mMemory = MemoryBudget.ofHeap();
         mConnections = ConnectionPool.start(mControl, mMemory, metrics::countAnomaly);
         mState = ServingState.create();
@@ -271,7 +279,19 @@
         exchange.respond(new BasicHttpResponse(status), new byte[0]);
     }
 
+    /** Records how late the control thread is; a paused process is as late as one that is busy. */
+    private void recordDelay() {
+        long nowMillis = MonotonicClock.nowMillis();
+        long delayMillis = Math.max(0, nowMillis - mNextMaintenanceMillis);
+        mNextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL.toMillis();
+        mMetrics.recordDuration("control.delay_millis", delayMillis);
+        if (delayMillis > MAXIMUM_DELAY_MILLIS) {
+            EventLog.write("process", "delayed", "millis", delayMillis);
+        }
+    }
+
     private void maintain(EndpointDirectory directory, Placement placement, EndpointNews news) {
+        recordDelay();
         news.tick(MonotonicClock.nowMillis());
         directory.removeMissing(MonotonicClock.nowMillis());
         placement.removeUnlisted();
