--- a/src/test/java/org/vanilladoor/platform/FaultSoak.java
+++ b/src/test/java/org/vanilladoor/platform/FaultSoak.java
@@ -114,10 +114,20 @@
                         soak.mEndpoints.forEach(endpoint -> endpoint.setFaulty(true));
                         soak.runScheduledUntil(System.currentTimeMillis() + faultMillis);
                         soak.mEndpoints.forEach(endpoint -> endpoint.setFaulty(false));
+                        soak.checkThatNoProcessHasEnded();
                     });
         }
     }
 
+    /** Nothing but its endpoints' bytes may end a process that no signal was sent to. */
+    private void checkThatNoProcessHasEnded() {
+        for (SoakVm vm : mVms) {
+            if (!vm.isRunning()) {
+                mLedger.recordViolation(vm.name() + " has ended by itself");
+            }
+        }
+    }
+
     private List<String> run(long faultMillis) throws IOException, InterruptedException {
         return run(() -> injectFaultsFor(faultMillis));
     }
