Avoid an endpoint whose responses do not end, for longer and longer

A broken response ends early, so that the endpoint looks idle and is preferred; the penalty for failures fades within 1.5 s.

After a response that is larger than any valid one the endpoint is avoided for 1 s, and for twice as long each time, up to 16 s, until it has been sound for 30 s. It is still chosen if no other one is left. Events out of order are told apart from it.

Evidence: PlacementTests.anEndpointWhoseResponsesDoNotEndGetsNoTurnForLongerAndLonger (the method is new).

--- a/src/main/java/org/vanilladoor/fleet/EndpointLoad.java
+++ b/src/main/java/org/vanilladoor/fleet/EndpointLoad.java
@@ -16,12 +16,22 @@
     /** Each success divides the number of recent failures by this. */
     private static final int FAILURE_DIVISOR_ON_SUCCESS = 2;
 
+    /** First and longest time for which an endpoint is avoided after a response without end. */
+    private static final long MINIMUM_ENDLESS_PAUSE_MILLIS = 1_000;
+
+    private static final long MAXIMUM_ENDLESS_PAUSE_MILLIS = 16_000;
+
+    /** Time without such a response after which earlier ones do not count. */
+    private static final long ENDLESS_MEMORY_MILLIS = 30_000;
+
     private int mOwnRequests;
     private double mOthersRequests;
     private long mLoadRecordedMillis;
     private double mFailures;
     private long mFailuresUpdatedMillis;
     private long mAvoidUntilMillis = Long.MIN_VALUE;
+    private long mEndlessPauseMillis;
+    private long mEndlessUntilMillis = -ENDLESS_MEMORY_MILLIS;
     private long mExcludeUntilMillis = Long.MIN_VALUE;
     private long mPausedUntilMillis = Long.MIN_VALUE;
     private OptionalLong mLeavingStartMillis = OptionalLong.empty();
@@ -52,6 +62,23 @@
         mAvoidUntilMillis = Math.max(mAvoidUntilMillis, nowMillis + durationMillis);
     }
 
+    /**
+     * Records a response without end and avoids the endpoint, each time for twice as long; further
+     * ones that arrive meanwhile were requested before.
+     */
+    void recordEndless(long nowMillis) {
+        if (nowMillis < mEndlessUntilMillis) {
+            return;
+        }
+        boolean isFirst = nowMillis - mEndlessUntilMillis > ENDLESS_MEMORY_MILLIS;
+        mEndlessPauseMillis =
+                isFirst
+                        ? MINIMUM_ENDLESS_PAUSE_MILLIS
+                        : Math.min(2 * mEndlessPauseMillis, MAXIMUM_ENDLESS_PAUSE_MILLIS);
+        mEndlessUntilMillis = nowMillis + mEndlessPauseMillis;
+        avoidFor(nowMillis, mEndlessPauseMillis);
+    }
+
     void excludeFor(long nowMillis, long durationMillis) {
         mExcludeUntilMillis = Math.max(mExcludeUntilMillis, nowMillis + durationMillis);
     }
--- a/src/main/java/org/vanilladoor/fleet/Placement.java
+++ b/src/main/java/org/vanilladoor/fleet/Placement.java
@@ -223,6 +223,12 @@
         load(endpoint.name()).recordFailure(nowMillis, 0);
     }
 
+    /** Records a response that does not end, and avoids the endpoint for a while. */
+    public void recordEndless(Endpoint endpoint, long nowMillis) {
+        load(endpoint.name()).recordEndless(nowMillis);
+        EventLog.write("endpoints", "response.endless", "endpoint", endpoint.name());
+    }
+
     /**
      * Records that an endpoint is unreachable or did not respond, and avoids it for {@link
      * #UNREACHABLE_MILLIS}.
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -163,10 +163,17 @@
         if (mEnded) {
             return;
         }
-        if (!mListener.onData(bytes)) {
-            endWithInvalidResponse("the response is larger than any valid one");
-        } else if (!mBodyAccount.tryResize(mListener.heldBytes())) {
-            endWithInvalidResponse("there is no memory for the response");
+        switch (mListener.onData(bytes)) {
+            case TOO_LONG -> {
+                mContext.placement().recordEndless(mCall.endpoint(), MonotonicClock.nowMillis());
+                endWithInvalidResponse("the response is larger than any valid one");
+            }
+            case OUT_OF_ORDER -> endWithInvalidResponse("an event does not follow the last one");
+            case VALID -> {
+                if (!mBodyAccount.tryResize(mListener.heldBytes())) {
+                    endWithInvalidResponse("there is no memory for the response");
+                }
+            }
         }
     }
 
@@ -215,6 +222,21 @@
         }
     }
 
+    /** What is known of a response that is not complete. */
+    enum Verdict {
+        /** It may be valid. */
+        VALID,
+        /** It has more bytes than any valid one, and may have no end. */
+        TOO_LONG,
+        /** One of its events does not follow the last one that the caller has got. */
+        OUT_OF_ORDER;
+
+        /** Returns that a response of the given size may be valid, or that it is too long. */
+        static Verdict ofSize(long bytes, long maximumBytes) {
+            return bytes <= maximumBytes ? VALID : TOO_LONG;
+        }
+    }
+
     /** Receives the response of a call until it completes or fails. */
     interface Listener {
         /** Called with the response head, once it is known to belong to this call. */
@@ -223,9 +245,9 @@
         /**
          * Called with each part of the response body.
          *
-         * @return whether the response may still be valid; otherwise the call ends as failed
+         * @return what is known of the response; unless it may be valid, the call ends as failed
          */
-        boolean onData(byte[] bytes);
+        Verdict onData(byte[] bytes);
 
         /** Returns the number of bytes that are kept of the response. */
         long heldBytes();
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -105,17 +105,17 @@
     }
 
     @Override
-    public boolean onData(byte[] bytes) {
+    public EndpointExchange.Verdict onData(byte[] bytes) {
         return switch (mContent) {
             case EVENTS -> addEvents(bytes);
             case COLLECTED -> collect(bytes);
             case FORWARDED -> {
                 mExecution.forward(mHead, bytes);
-                yield true;
+                yield EndpointExchange.Verdict.VALID;
             }
             case DISCARDED -> {
                 mDiscardedBytes += bytes.length;
-                yield mDiscardedBytes <= MAXIMUM_DISCARDED_BYTES;
+                yield EndpointExchange.Verdict.ofSize(mDiscardedBytes, MAXIMUM_DISCARDED_BYTES);
             }
         };
     }
@@ -127,19 +127,21 @@
                 : mBody.size();
     }
 
-    private boolean addEvents(byte[] bytes) {
+    private EndpointExchange.Verdict addEvents(byte[] bytes) {
         EventAssembler events = mExecution.progress().events();
         byte[] completeEvents = events.add(bytes);
         if (completeEvents.length > 0) {
             forwardEvents(completeEvents);
         }
-        return !events.isOutOfOrder() && events.partialBytes() <= MAXIMUM_EVENT_BYTES;
+        return events.isOutOfOrder()
+                ? EndpointExchange.Verdict.OUT_OF_ORDER
+                : EndpointExchange.Verdict.ofSize(events.partialBytes(), MAXIMUM_EVENT_BYTES);
     }
 
-    private boolean collect(byte[] bytes) {
+    private EndpointExchange.Verdict collect(byte[] bytes) {
         mBody.add(bytes);
         if (mStage == EndpointCall.Stage.READ_PROMPT) {
-            return mBody.size() <= MAXIMUM_PREFILL_RESPONSE_BYTES;
+            return EndpointExchange.Verdict.ofSize(mBody.size(), MAXIMUM_PREFILL_RESPONSE_BYTES);
         }
         if (mBody.size() >= MINIMUM_FORWARDED_BYTES && mStatesLength && isAnswer()) {
             mContent = Content.FORWARDED;
@@ -147,7 +149,7 @@
             mExecution.forward(mHead, mBody.toByteArray());
             mBody.clear();
         }
-        return mBody.size() <= MAXIMUM_RESPONSE_BYTES;
+        return EndpointExchange.Verdict.ofSize(mBody.size(), MAXIMUM_RESPONSE_BYTES);
     }
 
     /** Returns whether the caller gets the response, whatever its body is. */
@@ -313,10 +315,7 @@
             mExecution.retryElsewhere(endpoint, failure.reason());
         } else {
             mExecution.progress().markPossiblyRun();
-            boolean isOutOfOrder = mExecution.progress().events().isOutOfOrder();
-            handleBrokenResponse(
-                    endpoint,
-                    isOutOfOrder ? "an event does not follow the last one" : failure.reason());
+            handleBrokenResponse(endpoint, failure.reason());
         }
     }
 
--- a/src/test/java/org/vanilladoor/fleet/PlacementTests.java
+++ b/src/test/java/org/vanilladoor/fleet/PlacementTests.java
@@ -66,6 +66,33 @@
         assertThat(mPlacement.hasEndpoint(Endpoints.SERVICE, Set.of(), NOW_MILLIS)).isTrue();
     }
 
+    @Test
+    void anEndpointWhoseResponsesDoNotEndGetsNoTurnForLongerAndLonger() {
+        Endpoint faulty = Endpoints.engine("faulty", "a", EngineRole.DECODE);
+        Endpoint sound = Endpoints.engine("sound", "a", EngineRole.DECODE);
+        mDirectory.put(faulty);
+        mDirectory.put(sound);
+        // The sound one is busier, so that the faulty one is preferred otherwise.
+        mPlacement.recordStart(sound);
+        mPlacement.recordStart(sound);
+        long nowMillis = NOW_MILLIS;
+        for (long pauseMillis : new long[] {1_000, 2_000, 4_000, 8_000, 16_000, 16_000}) {
+            // Responses that arrive at the same time are one reason to avoid the endpoint.
+            mPlacement.recordEndless(faulty, nowMillis);
+            mPlacement.recordEndless(faulty, nowMillis);
+            assertThat(chooseEndpoint(nowMillis + pauseMillis - 1)).hasValue(sound);
+            assertThat(chooseEndpoint(nowMillis + pauseMillis)).hasValue(faulty);
+            nowMillis += pauseMillis;
+        }
+        nowMillis += 60_000;
+        mPlacement.recordEndless(faulty, nowMillis);
+        assertThat(chooseEndpoint(nowMillis + 1_000)).hasValue(faulty);
+    }
+
+    private Optional<Endpoint> chooseEndpoint(long nowMillis) {
+        return mPlacement.chooseEndpoint(Endpoints.SERVICE, Optional.empty(), Set.of(), nowMillis);
+    }
+
     @Test
     void anEndpointIsChosenAgainAtTheEndOfItsPause() {
         Endpoint endpoint = Endpoints.engine("e", "a", EngineRole.DECODE);
