Show that an endpoint is not read while its caller leaves its events unread

The planted fault slow-caller-fills-memory survived EndlessResponsesTogetherTests: what 24 callers left unread fits into socket buffers within the route's time. The new test has one caller and an endpoint without pauses: at most 256 KiB may be held.

--- a/src/test/java/org/vanilladoor/platform/EndlessResponsesTogetherTests.java
+++ b/src/test/java/org/vanilladoor/platform/EndlessResponsesTogetherTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -39,6 +40,10 @@
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
     private static final String INTERIM = "HTTP/1.1 102 Processing\r\n\r\n";
     private static final String EVENTS = "Content-Type: text/event-stream\r\n" + CHUNKED;
+
+    /** The window of an endpoint, as much unread output, and what is on its way between them. */
+    private static final long MAXIMUM_BYTES_OF_A_STREAM = 4 * 64 * 1_024;
+
     private static final int BLOCK_BYTES = 256 * 1024;
     private static final int BUFFER_BYTES = 65_536;
     private static final long PAUSE_MILLIS = 10;
@@ -100,6 +105,24 @@
         waitUntil(() -> heldBytes() == 0);
     }
 
+    @Test
+    void anEndpointIsNotReadWhileItsCallerLeavesItsEventsUnread() throws IOException {
+        String event = chunk("data: " + KILOBYTE + "\n\n").repeat(64);
+        endpoint(
+                "e",
+                received -> Answer.endless(ScriptedEndpoint.head(received, 200) + EVENTS, event));
+        long peakBytes = 0;
+        try (Socket socket = new Socket("127.0.0.1", mServer.address().port())) {
+            socket.getOutputStream().write(request("POST", "/chat/endless", "body", "secret", ""));
+            long endMillis = MonotonicClock.nowMillis() + TIMEOUT_MILLIS;
+            while (MonotonicClock.nowMillis() < endMillis) {
+                peakBytes = Math.max(peakBytes, heldBytes());
+            }
+        }
+        assertThat(peakBytes).isAtLeast(1);
+        assertThat(peakBytes).isAtMost(MAXIMUM_BYTES_OF_A_STREAM);
+    }
+
     private long heldBytes() {
         return Stream.of(Use.values()).mapToLong(mMemory::heldBytes).sum();
     }
