Split what a caller has not read from its exchange

CallerOutput holds the unread output with its account, RequestProgress the deadline, and EndpointExchange pauses while its caller's response is backlogged. No change of behaviour.

--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -120,13 +120,12 @@
         }
     }
 
-    /** Lets the endpoint send hardly more until {@link #resume}. */
-    void pause() {
-        mOutgoingCall.pause();
-    }
-
-    void resume() {
-        mOutgoingCall.resume();
+    /** Lets the endpoint send hardly more until the caller has read most of its response. */
+    void pauseWhileBacklogged(CallerResponse response) {
+        if (response.isBacklogged()) {
+            mOutgoingCall.pause();
+            response.whenDrained(mOutgoingCall::resume);
+        }
     }
 
     @Override
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -104,7 +104,9 @@
 
     /** Ends all requests in progress, since the process is about to end. */
     public void endOpenRequests() {
-        List.copyOf(mOpenRequests).forEach(RequestExecution::endBeforeStop);
+        List.copyOf(mOpenRequests).stream()
+                .filter(request -> !request.isDone())
+                .forEach(RequestExecution::endBeforeStop);
     }
 
     /** Handles a request whose body has been received, or could not be kept. */
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -70,9 +70,7 @@
                         context.retryBudgets().forService(mService),
                         context.state()::vmCount,
                         context.metrics());
-        mDeadlineMillis =
-                mProgress.arrivedMillis()
-                        + Math.min(route.timeoutMillis(), request.callerTimeoutMillis());
+        mDeadlineMillis = mProgress.deadlineMillis();
     }
 
     static RequestExecution create(
@@ -291,11 +289,7 @@
     /** Forwards a part of the response of the endpoint that sent the given head. */
     void forward(HttpResponse endpointHead, byte[] content) {
         mResponse.forward(endpointHead, content);
-        if (mResponse.isBacklogged()) {
-            EndpointExchange call = mCall;
-            call.pause();
-            mResponse.whenDrained(call::resume);
-        }
+        mCall.pauseWhileBacklogged(mResponse);
     }
 
     private void refuse(Refusal refusal, String reason) {
@@ -325,10 +319,8 @@
 
     /** Ends the request because its endpoint takes longer than the process may live. */
     void endBeforeStop() {
-        if (!isDone()) {
-            abandonCall();
-            endWithFailure(Refusal.STOPPING, "the process ends");
-        }
+        abandonCall();
+        endWithFailure(Refusal.STOPPING, "the process ends");
     }
 
     private void abandonCall() {
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -11,24 +11,32 @@
 final class RequestProgress {
     private final long mArrivedMillis = MonotonicClock.nowMillis();
     private final EventAssembler mEvents;
+    private final long mDeadlineMillis;
     private int mPossibleRuns;
     private boolean mMayHaveRun;
 
-    private RequestProgress(EventAssembler events) {
+    private RequestProgress(EventAssembler events, long timeoutMillis) {
         mEvents = events;
+        mDeadlineMillis = mArrivedMillis + timeoutMillis;
     }
 
     /** Returns the progress of a request that arrives now. */
     static RequestProgress start(CallerRequest request, Route route) {
         return new RequestProgress(
                 EventAssembler.after(
-                        request.lastEventIdentifier().filter(last -> route.resumable())));
+                        request.lastEventIdentifier().filter(last -> route.resumable())),
+                Math.min(route.timeoutMillis(), request.callerTimeoutMillis()));
     }
 
     long arrivedMillis() {
         return mArrivedMillis;
     }
 
+    /** Returns the time at which the request has to have its response. */
+    long deadlineMillis() {
+        return mDeadlineMillis;
+    }
+
     /** Returns the buffer for the events of the response stream. */
     EventAssembler events() {
         return mEvents;
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -47,12 +45,6 @@
     /** Maximum output buffered for a slow caller. */
     private static final int MAXIMUM_UNSENT_BYTES = 4 * 1024 * 1024;
 
-    /** Unread output from which on no more should be written. */
-    private static final int BACKLOG_BYTES = 64 * 1024;
-
-    /** Output passed to a socket at once; the JDK copies all that it is given, read or not. */
-    private static final int MAXIMUM_WRITE_BYTES = 64 * 1024;
-
     private static final String MALFORMED_RESPONSE =
             "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
@@ -62,8 +54,7 @@
     private final CloseDetectingSession mSession;
     private final Consumer<FrontExchange> mReceiver;
     private final RequestBody mBody;
-    private final MemoryBudget.Account mOutputAccount;
-    private final Deque<ByteBuffer> mUnsent = new ArrayDeque<>();
+    private final CallerOutput mUnsent;
     private final AtomicInteger mOpenExchanges;
     private final AtomicBoolean mReleased = new AtomicBoolean();
     private HttpRequest mRequest;
@@ -72,7 +63,6 @@
     private DataStreamChannel mOutput;
     private Runnable mOnDisconnect = NO_ACTION;
     private Runnable mOnDrained = NO_ACTION;
-    private int mUnsentBytes;
     private boolean mPassedToReceiver;
     private boolean mRequestEnded;
     private Runnable mDeferred = NO_ACTION;
@@ -91,7 +81,7 @@
         mOpenExchanges.incrementAndGet();
         mControl = control;
         mBody = RequestBody.create(maximumBodyBytes, memory);
-        mOutputAccount = memory.open(MemoryBudget.Use.RESPONSE_OUTPUT);
+        mUnsent = CallerOutput.create(memory);
         mSession = session;
         mReceiver = receiver;
     }
@@ -152,8 +142,7 @@
         boolean isOverflowing;
         synchronized (this) {
             mUnsent.add(ByteBuffer.wrap(bytes));
-            setUnsentBytes(mUnsentBytes + bytes.length);
-            isOverflowing = mUnsentBytes > MAXIMUM_UNSENT_BYTES;
+            isOverflowing = mUnsent.bytes() > MAXIMUM_UNSENT_BYTES;
         }
         if (isOverflowing) {
             LOG.warn("front: Closing a connection whose caller leaves too much output unread.");
@@ -165,7 +154,7 @@
 
     /** Returns whether the caller has left so much unread that no more should be written. */
     public synchronized boolean isBacklogged() {
-        return mUnsentBytes > BACKLOG_BYTES;
+        return mUnsent.isBacklogged();
     }
 
     /** Runs the action on the control thread once the exchange is no longer backlogged. */
@@ -192,7 +181,6 @@
             // Nothing more may be sent, in particular not the terminating chunk.
             mDisconnected = true;
             mUnsent.clear();
-            setUnsentBytes(0);
         }
         mSession.close(closeMode());
     }
@@ -269,7 +257,7 @@
     public int available() {
         synchronized (this) {
             boolean isEndPending = mResponse == ResponseState.ENDED && !mEndSent && !mDisconnected;
-            return mUnsentBytes > 0 || isEndPending ? Math.max(1, mUnsentBytes) : 0;
+            return isEndPending ? Math.max(1, mUnsent.bytes()) : mUnsent.bytes();
         }
     }
 
@@ -281,12 +269,12 @@
             if (mDisconnected) {
                 return;
             }
-            writeUnsent(channel);
+            mUnsent.writeTo(channel);
             if (!isBacklogged()) {
                 onDrained = mOnDrained;
                 mOnDrained = NO_ACTION;
             }
-            if (mUnsent.isEmpty() && mResponse == ResponseState.ENDED && !mEndSent) {
+            if (mUnsent.bytes() == 0 && mResponse == ResponseState.ENDED && !mEndSent) {
                 mEndSent = true;
                 channel.endStream(null);
             }
@@ -296,24 +284,6 @@
         }
     }
 
-    /** Writes what the connection takes. */
-    private void writeUnsent(DataStreamChannel channel) throws IOException {
-        while (!mUnsent.isEmpty()) {
-            ByteBuffer next = mUnsent.peek();
-            int count = Math.min(next.remaining(), MAXIMUM_WRITE_BYTES);
-            ByteBuffer part = next.slice(next.position(), count);
-            channel.write(part);
-            next.position(next.position() + part.position());
-            setUnsentBytes(mUnsentBytes - part.position());
-            if (part.hasRemaining()) {
-                return;
-            }
-            if (!next.hasRemaining()) {
-                mUnsent.poll();
-            }
-        }
-    }
-
     @Override
     public void failed(Exception cause) {
         if (cause instanceof MalformedChunkCodingException) {
@@ -347,7 +317,7 @@
         if (mReleased.compareAndSet(false, true)) {
             mOpenExchanges.decrementAndGet();
             mBody.release();
-            mOutputAccount.close();
+            mUnsent.release();
         }
         handleDisconnect();
     }
@@ -383,7 +353,6 @@
             mDisconnected = true;
             action = mEndSent ? NO_ACTION : mOnDisconnect;
             mUnsent.clear();
-            setUnsentBytes(0);
         }
         mControl.execute(action);
     }
@@ -394,10 +363,7 @@
             if (!tryAdvance(ResponseState.NOT_STARTED, next)) {
                 return;
             }
-            setUnsentBytes(firstBytes.remaining());
-            if (firstBytes.hasRemaining()) {
-                mUnsent.add(firstBytes);
-            }
+            mUnsent.add(firstBytes);
         }
         if (!tryDefer(head, entity)) {
             send(head, entity);
@@ -453,11 +419,6 @@
         return false;
     }
 
-    private synchronized void setUnsentBytes(int bytes) {
-        mUnsentBytes = bytes;
-        mOutputAccount.resize(bytes);
-    }
-
     private void requestOutput() {
         DataStreamChannel output;
         synchronized (this) {
