Close the port of a test's endpoint before its connections

Cause: in the test's own endpoint. A thread that waits in accept keeps the port open until it wakes up, so that a crash closed the connections while the port still accepted new ones. A process that ends closes both.

--- a/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
+++ b/src/test/java/org/vanilladoor/platform/ScriptedEndpoint.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -39,6 +40,7 @@
     private final List<Received> mReceived = new CopyOnWriteArrayList<>();
     private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
     private final CountDownLatch mCloseTrigger = new CountDownLatch(1);
+    private final CompletableFuture<Void> mAcceptEnded = new CompletableFuture<>();
     private final Semaphore mStraysSent = new Semaphore(0);
     private volatile int mConnectionsClosedByPeer;
 
@@ -131,24 +133,30 @@
                 + STAMP_FIELD;
     }
 
+    /** Closes the port, which refuses connections from then on, and then all connections. */
     @Override
     public void close() throws IOException {
         mServer.close();
+        // A thread that waits for a connection keeps the port open until it wakes up.
+        mAcceptEnded.join();
         for (Socket socket : mSockets) {
             socket.close();
         }
     }
 
     private void accept() {
-        while (!mServer.isClosed()) {
-            try {
+        try {
+            while (!mServer.isClosed()) {
                 Socket socket = mServer.accept();
                 int connection = mSockets.size();
                 mSockets.add(socket);
                 THREADS.execute(() -> serve(socket, connection));
-            } catch (IOException e) {
-                return;
             }
+        } catch (IOException e) {
+            // The port was closed.
+            return;
+        } finally {
+            mAcceptEnded.complete(null);
         }
     }
 
