Allow an event of 1 MiB again

The budget bounds the sum of all partial events by itself, so that a lower limit only takes large events from their callers. EndlessResponsesTogetherTests, EndlessResponseTests pass with 1 MiB.

--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -25,7 +25,7 @@
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
 
     /** Maximum size of one event of a stream; events have a few kilobytes. */
-    private static final int MAXIMUM_EVENT_BYTES = 256 * 1024;
+    private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
     /** Size from which on a response that states its length is forwarded as it arrives. */
     private static final int MINIMUM_FORWARDED_BYTES = 256 * 1024;
