--- a/src/main/java/org/vanilladoor/common/MemoryBudget.java
+++ b/src/main/java/org/vanilladoor/common/MemoryBudget.java
@@ -131,7 +131,7 @@
             }
         }
 
-        /** Sets the number of bytes that the owner holds, which something else limits. */
+        /** Sets the number of bytes that the owner holds, whatever remains free. */
         public void resize(long bytes) {
             synchronized (MemoryBudget.this) {
                 if (!mClosed) {
--- a/src/main/java/org/vanilladoor/fleet/EndpointLoad.java
+++ b/src/main/java/org/vanilladoor/fleet/EndpointLoad.java
@@ -16,10 +16,11 @@
     /** Each success divides the number of recent failures by this. */
     private static final int FAILURE_DIVISOR_ON_SUCCESS = 2;
 
-    /** First and longest time for which an endpoint is avoided after a response without end. */
-    private static final long MINIMUM_ENDLESS_PAUSE_MILLIS = 1_000;
+    /** Time for which an endpoint is avoided after its first response without end. */
+    private static final long MINIMUM_AVOIDANCE_MILLIS = 1_000;
 
-    private static final long MAXIMUM_ENDLESS_PAUSE_MILLIS = 16_000;
+    /** Longest time for which it is avoided after further ones. */
+    private static final long MAXIMUM_AVOIDANCE_MILLIS = 16_000;
 
     /** Time without such a response after which earlier ones do not count. */
     private static final long ENDLESS_MEMORY_MILLIS = 30_000;
@@ -30,8 +31,8 @@
     private double mFailures;
     private long mFailuresUpdatedMillis;
     private long mAvoidUntilMillis = Long.MIN_VALUE;
-    private long mEndlessPauseMillis;
-    private long mEndlessUntilMillis = Long.MIN_VALUE / 2;
+    private long mAvoidanceMillis;
+    private long mAvoidanceEndMillis = Long.MIN_VALUE / 2;
     private long mExcludeUntilMillis = Long.MIN_VALUE;
     private long mPausedUntilMillis = Long.MIN_VALUE;
     private OptionalLong mLeavingStartMillis = OptionalLong.empty();
@@ -67,16 +68,16 @@
      * ones that arrive meanwhile were requested before.
      */
     void recordEndless(long nowMillis) {
-        if (nowMillis < mEndlessUntilMillis) {
+        if (nowMillis < mAvoidanceEndMillis) {
             return;
         }
-        boolean isFirst = nowMillis - mEndlessUntilMillis > ENDLESS_MEMORY_MILLIS;
-        mEndlessPauseMillis =
+        boolean isFirst = nowMillis - mAvoidanceEndMillis > ENDLESS_MEMORY_MILLIS;
+        mAvoidanceMillis =
                 isFirst
-                        ? MINIMUM_ENDLESS_PAUSE_MILLIS
-                        : Math.min(2 * mEndlessPauseMillis, MAXIMUM_ENDLESS_PAUSE_MILLIS);
-        mEndlessUntilMillis = nowMillis + mEndlessPauseMillis;
-        avoidFor(nowMillis, mEndlessPauseMillis);
+                        ? MINIMUM_AVOIDANCE_MILLIS
+                        : Math.min(2 * mAvoidanceMillis, MAXIMUM_AVOIDANCE_MILLIS);
+        mAvoidanceEndMillis = nowMillis + mAvoidanceMillis;
+        avoidFor(nowMillis, mAvoidanceMillis);
     }
 
     void excludeFor(long nowMillis, long durationMillis) {
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -123,8 +123,8 @@
     /** Lets the endpoint send hardly more until the caller has read most of its response. */
     void pauseWhileBacklogged(CallerResponse response) {
         if (response.isBacklogged()) {
-            mOutgoingCall.pause();
-            response.whenDrained(mOutgoingCall::resume);
+            mOutgoingCall.pauseReading();
+            response.whenDrained(mOutgoingCall::resumeReading);
         }
     }
 
@@ -230,7 +230,7 @@
         /** One of its events does not follow the last one that the caller has got. */
         OUT_OF_ORDER;
 
-        /** Returns that a response of the given size may be valid, or that it is too long. */
+        /** Returns {@link #VALID} for a size up to the maximum, else {@link #TOO_LONG}. */
         static Verdict ofSize(long bytes, long maximumBytes) {
             return bytes <= maximumBytes ? VALID : TOO_LONG;
         }
--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -59,13 +59,13 @@
         }
     }
 
-    /** Lets the peer send no more than a window of its response until {@link #resume}. */
-    public void pause() {
+    /** Lets the peer send no more than a window of its response until {@link #resumeReading}. */
+    public void pauseReading() {
         mPaused = true;
     }
 
-    /** Ends a pause. */
-    public void resume() {
+    /** Lets the peer send the rest of its response. */
+    public void resumeReading() {
         mPaused = false;
         returnCapacity();
     }
--- a/src/test/java/org/vanilladoor/platform/OddEntryProcessTests.java
+++ b/src/test/java/org/vanilladoor/platform/OddEntryProcessTests.java
@@ -5,8 +5,6 @@
 
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -47,7 +45,7 @@
         mEndpoint =
                 ScriptedEndpoint.start(
                         request -> ScriptedEndpoint.response(request, 200, "", "served"));
-        mCallers = freeAddress();
+        mCallers = VmSettings.freeAddress();
     }
 
     @AfterEach
@@ -119,20 +117,13 @@
         Path settings = mDirectory.resolve("vm.toml");
         Files.writeString(
                 settings,
-                String.join(
-                        "\n",
-                        "node = \"vm\"",
-                        "zone = \"a\"",
-                        "[listen]",
-                        "front = \"" + mCallers + "\"",
-                        "ready = \"" + freeAddress() + "\"",
-                        "[platform]",
-                        "addr = \"" + mStore.address() + "\"",
+                VmSettings.text(
+                        mCallers,
+                        mStore.address(),
                         "[cloud]",
                         "addr = \"" + mStore.address() + "\"",
                         "[bounds]",
-                        "report_window_s = 5",
-                        ""));
+                        "report_window_s = 5"));
         mProcess =
                 ProgramProcess.start(
                         List.of("-Xmx160m", "-Xss256k", "-Dvanilladoor.log.format=events"),
@@ -154,12 +145,6 @@
                 .toList();
     }
 
-    private static HostPort freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new HostPort("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     private void awaitServed(String path, long timeoutMillis) {
         awaitTrue("serves " + path, timeoutMillis, () -> call(path).endsWith("served"));
     }
--- a/src/test/java/org/vanilladoor/platform/PlannedStopTests.java
+++ b/src/test/java/org/vanilladoor/platform/PlannedStopTests.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +21,7 @@
     private static final int SOCKET_TIMEOUT_MILLIS = 20_000;
     private static final long POLL_MILLIS = 50;
     private static final String EVENT = "id: 1\ndata: one\n\n";
+    private final CompletableFuture<Void> mSlowResponse = new CompletableFuture<>();
     private RawObjectStore mStore;
     private ScriptedEndpoint mEndpoint;
     private HostPort mCallers;
@@ -31,11 +30,16 @@
     @BeforeEach
     void start() throws Exception {
         mStore = RawObjectStore.start(100);
-        mEndpoint = ScriptedEndpoint.start(PlannedStopTests::answer);
-        mCallers = freeAddress();
+        mEndpoint = ScriptedEndpoint.start(this::answer);
+        mCallers = VmSettings.freeAddress();
         putEndpoint();
         putConfiguration();
-        mProcess = ServeProcess.start(PlatformSettings.parse("vm.toml", settings()));
+        mProcess =
+                ServeProcess.start(
+                        PlatformSettings.parse(
+                                "vm.toml",
+                                VmSettings.text(
+                                        mCallers, mStore.address(), "[bounds]", "grace_s = 4")));
         while (!call("/safe/quick").endsWith("done")) {
             Thread.sleep(POLL_MILLIS);
         }
@@ -62,9 +66,13 @@
     }
 
     @Test
-    void aRequestThatEndsWithinTheGracePeriodGetsItsAnswer() {
-        CompletableFuture<String> response = callWhileStopping("/once/slow");
+    void aRequestThatEndsAfterOthersAreRefusedGetsItsAnswer() throws Exception {
+        CompletableFuture<String> response = callAndAwaitEndpoint("/once/slow");
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(mProcess::stop);
+        awaitRefusals();
+        mSlowResponse.complete(null);
         assertThat(response.join()).endsWith("done");
+        stop.join();
     }
 
     @Test
@@ -73,9 +81,7 @@
             byte[] request = GatewayFixture.request("POST", "/once/quick", "late", "key", "");
             socket.getOutputStream().write(request, 0, request.length - 1);
             CompletableFuture<Void> stop = CompletableFuture.runAsync(mProcess::stop);
-            while (!call("/safe/quick").startsWith("HTTP/1.1 503")) {
-                Thread.sleep(POLL_MILLIS);
-            }
+            awaitRefusals();
             socket.getOutputStream().write(request, request.length - 1, 1);
             assertThat(read(socket)).startsWith("HTTP/1.1 503");
             stop.join();
@@ -88,26 +94,37 @@
 
     /** Sends a request, stops the process once its endpoint has it, and returns the response. */
     private CompletableFuture<String> callWhileStopping(String path) {
+        CompletableFuture<String> response = callAndAwaitEndpoint(path);
+        mProcess.stop();
+        return response;
+    }
+
+    private void awaitRefusals() throws InterruptedException {
+        while (!call("/safe/quick").startsWith("HTTP/1.1 503")) {
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private CompletableFuture<String> callAndAwaitEndpoint(String path) {
         CompletableFuture<String> response = CompletableFuture.supplyAsync(() -> call(path));
         GatewayFixture.waitUntil(
                 () ->
                         mEndpoint.received().stream()
                                 .anyMatch(received -> received.head().contains(path)));
-        mProcess.stop();
         return response;
     }
 
-    private static Answer answer(Received received) {
+    private Answer answer(Received received) {
         if (received.head().contains("/stream/hang")) {
             return ScriptedEndpoint.streamResponse(received, End.HANG, EVENT);
         }
         if (received.head().contains("hang")) {
             return new Answer("", End.HANG);
         }
-        Answer done = ScriptedEndpoint.response(received, 200, "", "done");
-        return received.head().contains("slow")
-                ? new Answer("", End.KEEP_AND_STRAY, done.text())
-                : done;
+        if (received.head().contains("slow")) {
+            mSlowResponse.join();
+        }
+        return ScriptedEndpoint.response(received, 200, "", "done");
     }
 
     private void putEndpoint() {
@@ -142,27 +159,6 @@
                 + "\",\"service\":\"s\",\"timeout_ms\":30000,\"public\":true}";
     }
 
-    private String settings() throws IOException {
-        return String.join(
-                "\n",
-                "node = \"vm\"",
-                "zone = \"a\"",
-                "[listen]",
-                "front = \"" + mCallers + "\"",
-                "ready = \"" + freeAddress() + "\"",
-                "[platform]",
-                "addr = \"" + mStore.address() + "\"",
-                "[bounds]",
-                "grace_s = 4",
-                "");
-    }
-
-    private static HostPort freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new HostPort("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     private Socket open() throws IOException {
         Socket socket = new Socket(mCallers.host(), mCallers.port());
         socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
