Read load reports with more than three figures

Services add a fourth figure to Vanilladoor-Load: how long work takes at that moment, where 100 is normal. The decoder took only reports of exactly three figures, so that every report of such a service was dropped and its endpoints were chosen by own calls alone.

A report of three or more figures is read. The fourth is kept in LoadSample as an optional factor; one that is no positive finite number is ignored, as are all further figures. Nothing uses the factor yet.

--- a/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
+++ b/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -50,9 +51,12 @@
     /** Number of fields in {@link Headers#TOKEN_COUNTS}. */
     private static final int TOKEN_COUNT_FIELDS = 2;
 
-    /** Number of fields in {@link Headers#LOAD}. */
+    /** Number of fields that each {@link Headers#LOAD} has; some endpoints add further ones. */
     private static final int LOAD_FIELDS = 3;
 
+    /** Value of the slow-down in {@link Headers#LOAD} at which work takes its normal time. */
+    private static final double NORMAL_SLOWDOWN = 100;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final char DELETE_CHARACTER = 127;
 
@@ -367,7 +371,7 @@
 
     private static Optional<LoadSample> decodeLoad(String text) {
         String[] fields = text.split(",");
-        if (fields.length != LOAD_FIELDS) {
+        if (fields.length < LOAD_FIELDS) {
             return Optional.empty();
         }
         try {
@@ -375,10 +379,25 @@
                     new LoadSample(
                             Integer.parseInt(fields[0].strip()),
                             Integer.parseInt(fields[1].strip()),
-                            Integer.parseInt(fields[2].strip())));
+                            Integer.parseInt(fields[2].strip()),
+                            fields.length > LOAD_FIELDS
+                                    ? decodeSlowdown(fields[LOAD_FIELDS])
+                                    : OptionalDouble.empty()));
         } catch (NumberFormatException e) {
             // An invalid load value is ignored; the endpoint is then judged only by its responses.
             return Optional.empty();
         }
     }
+
+    /** Returns the slow-down as a factor; one that can't be true of any machine is ignored. */
+    private static OptionalDouble decodeSlowdown(String field) {
+        try {
+            double slowdown = Double.parseDouble(field.strip()) / NORMAL_SLOWDOWN;
+            return slowdown > 0 && Double.isFinite(slowdown)
+                    ? OptionalDouble.of(slowdown)
+                    : OptionalDouble.empty();
+        } catch (NumberFormatException e) {
+            return OptionalDouble.empty();
+        }
+    }
 }
--- a/src/test/java/org/vanilladoor/platform/OperatorWireFormatTests.java
+++ b/src/test/java/org/vanilladoor/platform/OperatorWireFormatTests.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
@@ -13,6 +14,7 @@
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.engine.EngineRole;
@@ -148,6 +150,48 @@
         assertThat(forwarded.containsHeader("Connection")).isFalse();
     }
 
+    /** Guards against the loss of all load figures once an endpoint states more than three. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "3,1,8,250|2.5",
+                "3, 1, 8, 97.5|0.975",
+                "3,1,8,100,7|1",
+                "3,1,8,80,many,x|0.8"
+            })
+    void theFourthFigureOfALoadIsASlowdownAndFurtherOnesAreIgnored(String load, double slowdown) {
+        assertThat(decodeLoad(load))
+                .isEqualTo(Optional.of(new LoadSample(3, 1, 8, OptionalDouble.of(slowdown))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "3,1,8,",
+                "3,1,8,slow",
+                "3,1,8,0",
+                "3,1,8,-100",
+                "3,1,8,NaN",
+                "3,1,8,Infinity",
+                "3,1,8,,100"
+            })
+    void aSlowdownThatCantBeTrueLeavesTheOtherFiguresOfALoad(String load) {
+        assertThat(decodeLoad(load)).isEqualTo(Optional.of(new LoadSample(3, 1, 8)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "3", "3,1", "3,1,x,100", "3.5,1,8,100", "many,1,8"})
+    void aLoadWhoseFirstThreeFiguresCantBeReadIsIgnored(String load) {
+        assertThat(decodeLoad(load)).isEqualTo(Optional.empty());
+    }
+
+    private Optional<LoadSample> decodeLoad(String load) {
+        HttpResponse head = new BasicHttpResponse(200);
+        head.addHeader(Headers.LOAD, load);
+        return mWireFormat.decodeResponseHead(head).load();
+    }
+
     @Test
     void theLowestOfSeveralLimitsCountsAndTheCallerSeesNone() {
         HttpResponse head = new BasicHttpResponse(200);
