Double the delay between calls to a store that fails

While the store refused or ignored a VM, each of its two feeds called it again every 100 to 200 ms, about 13 refused calls a second and VM, which are priced and hold up the recovery of a busy store. The delay now doubles up to 400 to 800 ms and starts again at 100 ms after a success. RetryDelayTests: 25 calls at most in an outage of 10 s (about 66 before, worked out from the old delay); StoreFeedTests unchanged and green.

--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -21,9 +21,6 @@
  * thread.
  */
 final class StoreFeed {
-    /** Minimum delay after a failed call; the delay is random and up to twice as long. */
-    private static final int MINIMUM_RETRY_DELAY_MILLIS = 100;
-
     /** Shortest wait of a call, whose response confirms at once. */
     private static final long MINIMUM_WAIT_MILLIS = 1;
 
@@ -41,7 +38,7 @@
     private final String mKind;
     private final long mWaitMillis;
     private final LongSupplier mMinimumIntervalMillis;
-    private final RandomGenerator mRandom;
+    private final RetryDelay mRetryDelay;
     private final Listener mListener;
     private boolean mListed;
     private boolean mUnavailable;
@@ -62,7 +59,7 @@
         mKind = kind;
         mWaitMillis = waitMillis;
         mMinimumIntervalMillis = minimumIntervalMillis;
-        mRandom = random;
+        mRetryDelay = RetryDelay.create(random);
         mListener = listener;
     }
 
@@ -179,6 +176,7 @@
 
     private void scheduleNextPoll(Throwable failure) {
         if (failure == null) {
+            mRetryDelay.recordSuccess();
             long remainingMillis =
                     mRequestedMillis + mMinimumIntervalMillis.getAsLong() - ExpiryClock.nowMillis();
             mControl.schedule(Duration.ofMillis(Math.max(0, remainingMillis)), this::poll);
@@ -190,8 +188,7 @@
                     "store", "dependency.lost", "kind", mKind, "reason", failure.getMessage());
         }
         mListener.onStoreUnavailable();
-        int delayMillis = MINIMUM_RETRY_DELAY_MILLIS + mRandom.nextInt(MINIMUM_RETRY_DELAY_MILLIS);
-        mControl.schedule(Duration.ofMillis(delayMillis), this::poll);
+        mControl.schedule(Duration.ofMillis(mRetryDelay.afterFailure()), this::poll);
     }
 
     /**
