Choose endpoints by expected end once one has stated its speed

The choice counted requests, so that a slow endpoint got as much work as a fast one, and all VMs with the same late reports chose the same endpoint.

CostPlacement draws an endpoint by the part that it gets when the work that arrives while reports are late is spread so that all endpoints end at the same time. Prompts with a shared prefix go to the engines that hold it, more of them for a prefix in greater demand. A prompt is sent to a prefill engine only if the expected wait there is short enough, and to none without memory for it. Placement offers this beside the earlier choice, which applies until an endpoint of the service states the fourth figure of its load.

--- a/src/main/java/org/vanilladoor/fleet/CostAssessment.java
+++ b/src/main/java/org/vanilladoor/fleet/CostAssessment.java
@@ -43,16 +43,17 @@
         double age = 0;
         for (int index = 0; index < options.length; index++) {
             Endpoint endpoint = endpoints.get(index);
+            boolean isUsed = costs.prefixUse().wasUsedAt(request.prefixKey(), endpoint, nowMillis);
             boolean isHolder =
-                    PrefixUse.rank(request.prefixKey(), endpoint) <= lastHolder
-                            || costs.prefixUse()
-                                    .wasUsedAt(request.prefixKey(), endpoint, nowMillis);
+                    isUsed || PrefixUse.rank(request.prefixKey(), endpoint) <= lastHolder;
             Option option =
                     option(
                             costs,
                             request,
                             phase,
                             endpoint,
+                            // Few VMs have an engine that runs requests prefill this prefix.
+                            isUsed || (isHolder && phase == WorkPhase.PREFILL),
                             isHolder,
                             endpoint.failureDomain().equals(domain),
                             nowMillis);
@@ -65,12 +66,18 @@
         return new CostAssessment(Arrays.asList(options), utilization, age);
     }
 
-    /** Assesses one endpoint, without regard to which of the others hold a prefix. */
+    /**
+     * Assesses one endpoint.
+     *
+     * @param holdsPrefix whether its expected work leaves out the shared prefix
+     * @param isHolder whether it is among the engines that are to hold the shared prefix
+     */
     static Option option(
             ServiceCosts costs,
             RequestProfile request,
             WorkPhase phase,
             Endpoint endpoint,
+            boolean holdsPrefix,
             boolean isHolder,
             boolean isNear,
             long nowMillis) {
@@ -83,7 +90,7 @@
         double slots = slots(endpoint);
         ExpectedWork work =
                 costs.expect(
-                        request, endpoint, phase, isHolder ? request.sharedTokens() : 0, isNear);
+                        request, endpoint, phase, holdsPrefix ? request.sharedTokens() : 0, isNear);
         double prompts = cost.ownPromptMillis() + others * promptMillisLeft(mean, isPrefillEngine);
         double slotWork = cost.ownSlotMillis() + others * LEFT_PART * mean.slotMillis();
         double queueMillis = Math.max(0, calls + 1 - slots) / slots * mean.slotMillis();
@@ -157,7 +164,7 @@
      * @param firstResultMillis time to the first part of the result
      * @param distanceMillis additional time in another failure domain
      * @param hasRoom whether the endpoint has memory for the request
-     * @param isHolder whether it is likely to hold the shared prefix
+     * @param isHolder whether it is among the engines that are to hold the shared prefix
      * @param isNear whether it is in the preferred failure domain
      */
     record Option(
--- a/src/main/java/org/vanilladoor/fleet/Placement.java
+++ b/src/main/java/org/vanilladoor/fleet/Placement.java
@@ -18,9 +18,11 @@
  *
  * <p>Rendezvous hashing makes all VMs send the prefill of prompts with the same shared prefix to
  * the same engine, without coordination, while that engine is below its limit. All other calls go
- * to the least loaded endpoint, preferably in the same failure domain. Invariant: an endpoint that
- * is leaving, by its entry or by its own word, is changing its role or wants no requests is never
- * chosen. Does no I/O; time is passed in as an argument. Confined to the control thread.
+ * to the least loaded endpoint, preferably in the same failure domain. Once an endpoint of a
+ * service has stated how long work takes there, {@link CostPlacement} chooses among the service's
+ * endpoints instead. Invariant: an endpoint that is leaving, by its entry or by its own word, is
+ * changing its role or wants no requests is never chosen. Does no I/O; time is passed in as an
+ * argument. Confined to the control thread.
  */
 public final class Placement {
     /** Time for which an unreachable endpoint is avoided, in milliseconds. */
@@ -50,10 +52,14 @@
      */
     private static final double JITTER = 0.02;
 
+    /** Factor of the expected end at an endpoint that is avoided while there are others. */
+    private static final double AVOIDANCE_FACTOR = 1_000;
+
     private final EndpointDirectory mDirectory;
     private final String mOwnDomain;
     private final RequestLimits mLimits;
     private final RandomGenerator mRandom;
+    private final CostPlacement mCosts;
     private final Map<String, EndpointLoad> mLoads = new HashMap<>();
 
     private Placement(
@@ -65,6 +71,7 @@
         mOwnDomain = ownDomain;
         mLimits = limits;
         mRandom = random;
+        mCosts = CostPlacement.create(ownDomain, random);
     }
 
     /**
@@ -159,6 +166,103 @@
                 .map(Candidate::endpoint);
     }
 
+    /**
+     * Returns the engine that is to prefill a request's prompt, or empty if it has to wait for one.
+     *
+     * @param maximumWaitMillis maximum of the expected wait at the engine
+     * @param excluded names of endpoints that must not be chosen
+     */
+    public Optional<Endpoint> choosePrefillEngine(
+            RequestProfile request,
+            double maximumWaitMillis,
+            Set<String> excluded,
+            long nowMillis) {
+        if (!mCosts.isActive(request.service())) {
+            return choosePrefillEngine(request.service(), request.prefixKey(), excluded, nowMillis);
+        }
+        return mCosts.chooseForPrefill(
+                request,
+                prefillCandidates(request.service(), excluded, nowMillis),
+                maximumWaitMillis,
+                nowMillis);
+    }
+
+    /**
+     * Returns the endpoint that is to run a request, or empty if there is none with room.
+     *
+     * @param phase {@link WorkPhase#RUN} or {@link WorkPhase#RUN_WITH_CACHE}
+     * @param preferredDomain preferred failure domain; this VM's one if empty
+     * @param excluded names of endpoints that must not be chosen
+     */
+    public Optional<Endpoint> chooseEndpoint(
+            RequestProfile request,
+            WorkPhase phase,
+            Optional<String> preferredDomain,
+            Set<String> excluded,
+            long nowMillis) {
+        if (!mCosts.isActive(request.service())) {
+            return chooseEndpoint(request.service(), preferredDomain, excluded, nowMillis);
+        }
+        return mCosts.chooseForRun(
+                request,
+                phase,
+                runCandidates(request.service(), excluded, nowMillis),
+                preferredDomain.orElse(mOwnDomain),
+                endpoint -> penalty(load(endpoint.name()), nowMillis),
+                nowMillis);
+    }
+
+    /** Returns whether no endpoint that could run a request has memory for it. */
+    public boolean isOutOfMemory(
+            RequestProfile request, WorkPhase phase, Set<String> excluded, long nowMillis) {
+        if (request.kvCacheTokens() <= 0 || !mCosts.isActive(request.service())) {
+            return false;
+        }
+        List<Endpoint> candidates = runCandidates(request.service(), excluded, nowMillis);
+        return !candidates.isEmpty() && !mCosts.hasRoom(request, phase, candidates, nowMillis);
+    }
+
+    /**
+     * Returns whether the engine that runs a request is expected to end its prefill sooner than a
+     * prefill engine and the transfer of the KV cache together.
+     */
+    public boolean isOwnPrefillSooner(
+            RequestProfile request, Set<String> excluded, long nowMillis) {
+        return mCosts.isActive(request.service())
+                && mCosts.isOwnPrefillSooner(
+                        request,
+                        prefillCandidates(request.service(), excluded, nowMillis),
+                        runCandidates(request.service(), excluded, nowMillis),
+                        nowMillis);
+    }
+
+    /**
+     * Returns the cost of a call that is about to be sent, which counts as outstanding work of its
+     * endpoint until the call ends.
+     *
+     * @param cacheDomain failure domain of the KV cache that the call fetches, if it does
+     */
+    public CallCost openCall(
+            RequestProfile request,
+            Endpoint endpoint,
+            WorkPhase phase,
+            Optional<String> cacheDomain,
+            long nowMillis) {
+        return mCosts.open(request, endpoint, phase, cacheDomain, nowMillis);
+    }
+
+    private static double penalty(EndpointLoad load, long nowMillis) {
+        return (1 + FAILURE_PENALTY * load.failures(nowMillis))
+                * (load.isAvoided(nowMillis) ? AVOIDANCE_FACTOR : 1);
+    }
+
+    private List<Endpoint> prefillCandidates(String service, Set<String> excluded, long nowMillis) {
+        return candidates(service, Set.of(EngineRole.PREFILL), excluded).stream()
+                .filter(endpoint -> !load(endpoint.name()).isAvoided(nowMillis))
+                .filter(endpoint -> millisUntilRoom(endpoint, nowMillis) == 0)
+                .toList();
+    }
+
     /** Returns whether an endpoint is leaving, or has left, so that its end is no crash. */
     public boolean isLeaving(Endpoint endpoint) {
         return hasSaidThatItLeaves(endpoint)
@@ -211,6 +315,7 @@
     /** Records the load that an endpoint stated in a response. */
     public void recordLoad(Endpoint endpoint, LoadSample sample, long nowMillis) {
         load(endpoint.name()).recordLoad(sample, nowMillis);
+        mCosts.recordLoad(endpoint, sample, nowMillis);
     }
 
     /** Records a successful call. */
@@ -260,6 +365,7 @@
      * progress.
      */
     public void removeUnlisted() {
+        mCosts.removeUnlisted(name -> mDirectory.find(name).isPresent());
         mLimits.removeUnlisted(name -> mDirectory.find(name).isPresent());
         mLoads.entrySet()
                 .removeIf(
--- a/src/test/java/org/vanilladoor/fleet/CostModelTests.java
+++ b/src/test/java/org/vanilladoor/fleet/CostModelTests.java
@@ -146,7 +146,7 @@
                 WorkPhase.RUN,
                 true,
                 CostAssessment.option(
-                        mCosts, request, WorkPhase.RUN, endpoint, false, true, mNowMillis),
+                        mCosts, request, WorkPhase.RUN, endpoint, false, false, true, mNowMillis),
                 mNowMillis);
     }
 
