Decode the callers' hint of the output's length

The work of a request depends on the length of its output, of which the callers state the maximum and, in Vanilladoor-Length-Hint, an estimate. The hint was forwarded without being read.

PromptMetadata has the hint, as any number; a hint that can't be read or is repeated is ignored, since it only improves an estimate. It is forwarded as before. OperatorWireFormatTests pass with four new cases.

--- a/src/main/java/org/vanilladoor/gateway/PromptMetadata.java
+++ b/src/main/java/org/vanilladoor/gateway/PromptMetadata.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.OptionalDouble;
 
 /**
  * The model, the token counts and the shared parts of a prompt; the text is not included.
@@ -12,10 +13,15 @@
  * @param model name of the model
  * @param promptTokens length of the prompt in tokens
  * @param maximumOutputTokens maximum number of tokens to generate
+ * @param lengthHint the caller's estimate of the number of tokens; may be any number
  * @param parts the prompt's parts in order; only the last one is not shared with other requests
  */
 public record PromptMetadata(
-        String model, long promptTokens, long maximumOutputTokens, List<Part> parts) {
+        String model,
+        long promptTokens,
+        long maximumOutputTokens,
+        OptionalDouble lengthHint,
+        List<Part> parts) {
     public PromptMetadata {
         Objects.requireNonNull(model, "model");
         parts = List.copyOf(parts);
--- a/src/main/java/org/vanilladoor/platform/Headers.java
+++ b/src/main/java/org/vanilladoor/platform/Headers.java
@@ -24,6 +24,9 @@
     /** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
     static final String TOKEN_COUNTS = "Vanilladoor-Token-Count";
 
+    /** Caller's estimate of the number of output tokens, which may be far off. */
+    static final String LENGTH_HINT = "Vanilladoor-Length-Hint";
+
     /** Parts of the prompt, each as {@code identifier:tokens}, separated by commas. */
     static final String PROMPT_PARTS = "Vanilladoor-Prompt-Prefix";
 
--- a/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
+++ b/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
@@ -292,9 +292,23 @@
                         singleHeader(request, Headers.MODEL).orElse(""),
                         parseNumber(fields[0]),
                         parseNumber(fields[1]),
+                        decodeLengthHint(request),
                         parts));
     }
 
+    /** A hint only improves an estimate, so that one that can't be read is ignored. */
+    private static OptionalDouble decodeLengthHint(HttpRequest request) {
+        Header[] headers = request.getHeaders(Headers.LENGTH_HINT);
+        if (headers.length != 1) {
+            return OptionalDouble.empty();
+        }
+        try {
+            return OptionalDouble.of(Double.parseDouble(headers[0].getValue().strip()));
+        } catch (NumberFormatException e) {
+            return OptionalDouble.empty();
+        }
+    }
+
     private static List<Header> headersToForward(HttpRequest request) {
         return Arrays.stream(request.getHeaders())
                 .filter(header -> !HOP_BY_HOP_HEADERS.contains(lowerCaseName(header)))
--- a/src/test/java/org/vanilladoor/platform/OperatorWireFormatTests.java
+++ b/src/test/java/org/vanilladoor/platform/OperatorWireFormatTests.java
@@ -52,6 +52,26 @@
         assertThat(prompt.affinityKey()).isEqualTo("m/91bd");
     }
 
+    @Test
+    void aLengthHintIsDecodedAndForwarded() throws MalformedRequestException {
+        HttpRequest hinted = request();
+        hinted.addHeader(Headers.LENGTH_HINT, "55");
+        CallerRequest request = mWireFormat.decodeRequest(hinted, new byte[0]);
+        assertThat(request.prompt().orElseThrow().lengthHint()).isEqualTo(OptionalDouble.of(55));
+        assertThat(values(mWireFormat.encodeCall(request, runCall(Optional.empty()))))
+                .contains("55");
+    }
+
+    /** Guards against a rejected request because of a figure that only improves an estimate. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "many", "5,6"})
+    void aLengthHintThatIsNoNumberIsIgnored(String hint) throws MalformedRequestException {
+        HttpRequest hinted = request();
+        hinted.addHeader(Headers.LENGTH_HINT, hint);
+        CallerRequest request = mWireFormat.decodeRequest(hinted, new byte[0]);
+        assertThat(request.prompt().orElseThrow().lengthHint()).isEqualTo(OptionalDouble.empty());
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
