Choose endpoints by expected end in the gateway

The choice by expected end exists in fleet, but requests did not use it.

Each request has an EndpointChoice, which asks the placement with the request's profile, and each call a CallCost, which counts as outstanding work and learns from the time to the first event, between events and to the response. A prompt is sent to a prefill engine whose expected wait is at most half the objective, else it queues; the engine that runs the request prefills it if that is expected to end sooner. A request for which no engine has memory queues and lets others pass in the first half of its time. The log line request.sent has expected_ms; the metrics calls.expected_millis, calls.took_millis and calls.error_millis show both, by stage.

--- a/src/main/java/org/vanilladoor/fleet/Placement.java
+++ b/src/main/java/org/vanilladoor/fleet/Placement.java
@@ -166,6 +166,11 @@
                 .map(Candidate::endpoint);
     }
 
+    /** Returns whether the service's endpoints are chosen by expected end. */
+    public boolean isByCost(String service) {
+        return mCosts.isActive(service);
+    }
+
     /**
      * Returns the engine that is to prefill a request's prompt, or empty if it has to wait for one.
      *
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -5,6 +5,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.fleet.CallCost;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.transport.CallFailure;
 import org.vanilladoor.transport.ConnectionAnomaly;
@@ -27,6 +28,7 @@
     private final GatewayContext mContext;
     private final CallerRequest mRequest;
     private final EndpointCall mCall;
+    private final CallCost mCost;
     private final Listener mListener;
     private final MemoryBudget.Account mBodyAccount;
     private OutgoingCall mOutgoingCall;
@@ -34,22 +36,32 @@
     private boolean mEnded;
 
     private EndpointExchange(
-            GatewayContext context, CallerRequest request, EndpointCall call, Listener listener) {
+            GatewayContext context,
+            CallerRequest request,
+            EndpointCall call,
+            CallCost cost,
+            Listener listener) {
         mContext = context;
         mRequest = request;
         mCall = call;
+        mCost = cost;
         mListener = listener;
         mBodyAccount = context.memory().open(MemoryBudget.Use.RESPONSE_BODY);
     }
 
-    /** Sends the call and adds it to the endpoint's load. */
+    /**
+     * Sends the call and adds it to the endpoint's load.
+     *
+     * @param cost the call's outstanding work, which ends with the call
+     */
     static EndpointExchange send(
             GatewayContext context,
             CallerRequest request,
             EndpointCall call,
+            CallCost cost,
             long connectTimeoutMillis,
             Listener listener) {
-        EndpointExchange exchange = new EndpointExchange(context, request, call, listener);
+        EndpointExchange exchange = new EndpointExchange(context, request, call, cost, listener);
         context.placement().recordStart(call.endpoint());
         context.placement().recordSent(call.endpoint(), MonotonicClock.nowMillis());
         exchange.adjustRunningCount(1);
@@ -211,6 +223,7 @@
         mTimeLimit.cancel();
         mBodyAccount.close();
         mContext.placement().recordEnd(mCall.endpoint());
+        mCost.end();
         adjustRunningCount(-1);
         return true;
     }
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -1,12 +1,14 @@
 package org.vanilladoor.gateway;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.common.PieceBuffer;
+import org.vanilladoor.fleet.CallCost;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.route.RouteKind;
 import org.vanilladoor.transport.CallFailure;
@@ -45,6 +47,7 @@
     private final GatewayContext mContext;
     private final RequestExecution mExecution;
     private final EndpointCall.Stage mStage;
+    private final CallCost mCost;
     private final PieceBuffer mBody = PieceBuffer.create();
     private EndpointResponse mResponse;
     private HttpResponse mHead;
@@ -56,10 +59,14 @@
     private boolean mSurvived;
 
     EndpointResponseHandler(
-            GatewayContext context, RequestExecution execution, EndpointCall.Stage stage) {
+            GatewayContext context,
+            RequestExecution execution,
+            EndpointCall.Stage stage,
+            CallCost cost) {
         mContext = context;
         mExecution = execution;
         mStage = stage;
+        mCost = cost;
     }
 
     @Override
@@ -129,7 +136,11 @@
 
     private EndpointExchange.Verdict addEvents(byte[] bytes) {
         EventAssembler events = mExecution.progress().events();
+        int earlierEvents = events.acceptedEvents();
         byte[] completeEvents = events.add(bytes);
+        recordTime(
+                mCost.recordEvents(
+                        events.acceptedEvents() - earlierEvents, MonotonicClock.nowMillis()));
         if (completeEvents.length > 0) {
             forwardEvents(completeEvents);
         }
@@ -138,6 +149,12 @@
                 : EndpointExchange.Verdict.ofSize(events.partialBytes(), MAXIMUM_EVENT_BYTES);
     }
 
+    private void recordTime(OptionalLong tookMillis) {
+        tookMillis.ifPresent(
+                millis ->
+                        mContext.metrics().recordCallTime(mStage, mCost.expectedMillis(), millis));
+    }
+
     private EndpointExchange.Verdict collect(byte[] bytes) {
         mBody.add(bytes);
         if (mStage == EndpointCall.Stage.READ_PROMPT) {
@@ -208,6 +225,7 @@
                 throw new IllegalArgumentException("status " + mResponse.status());
             }
             String handle = mContext.wireFormat().decodeKvCacheHandle(mBody.toByteArray());
+            recordTime(mCost.recordResponse(MonotonicClock.nowMillis()));
             mExecution.onPrefillComplete(new KvCacheReference(endpoint, handle));
         } catch (IllegalArgumentException e) {
             mContext.placement().recordFailure(endpoint, MonotonicClock.nowMillis());
@@ -219,6 +237,7 @@
         long nowMillis = MonotonicClock.nowMillis();
         if (mContent == Content.FORWARDED) {
             mContext.placement().recordSuccess(endpoint, nowMillis);
+            recordTime(mCost.recordResponse(nowMillis));
             mExecution.completeStream(endpoint.name() + " with status " + mResponse.status());
             return;
         }
@@ -245,6 +264,7 @@
             }
         } else {
             mContext.placement().recordSuccess(endpoint, nowMillis);
+            recordTime(mCost.recordResponse(nowMillis));
         }
         countStartedUnlessStreaming();
         if (mResponse.status() == Refusal.NOT_RUN.status() || isUntruePromise()) {
@@ -268,6 +288,7 @@
                 && mExecution.progress().events().endsAtEventBoundary()) {
             long nowMillis = MonotonicClock.nowMillis();
             mContext.placement().recordSuccess(endpoint, nowMillis);
+            recordTime(mCost.recordResponse(nowMillis));
             recordSurvival(nowMillis);
             mExecution.completeStream(endpoint.name());
         } else {
--- a/src/main/java/org/vanilladoor/gateway/EventAssembler.java
+++ b/src/main/java/org/vanilladoor/gateway/EventAssembler.java
@@ -20,6 +20,7 @@
     private int mPartialBytes;
     private final EventSequence mSequence;
     private boolean mOutOfOrder;
+    private int mAcceptedEvents;
 
     private EventAssembler(EventSequence sequence) {
         mSequence = sequence;
@@ -88,6 +89,11 @@
         return mOutOfOrder;
     }
 
+    /** Returns the number of complete events with data so far, over all runs. */
+    int acceptedEvents() {
+        return mAcceptedEvents;
+    }
+
     /** Returns whether another run can go on after the last event. */
     boolean isResumable() {
         return mSequence.isResumable();
@@ -123,6 +129,7 @@
                 identifier = Optional.of(line.substring(IDENTIFIER_FIELD.length()).strip());
             }
         }
+        mAcceptedEvents += hasData ? 1 : 0;
         if (identifier.filter(value -> !value.isEmpty()).isPresent()) {
             return mSequence.tryAccept(identifier.get());
         }
--- a/src/main/java/org/vanilladoor/gateway/GatewayMetrics.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayMetrics.java
@@ -45,6 +45,14 @@
         count("calls." + stage.name().toLowerCase(Locale.ROOT));
     }
 
+    /** Records how long a call took to the first part of its result, beside what was expected. */
+    void recordCallTime(EndpointCall.Stage stage, double expectedMillis, long tookMillis) {
+        recordDuration("calls.expected_millis." + stage, Math.round(expectedMillis));
+        recordDuration("calls.took_millis." + stage, tookMillis);
+        recordDuration(
+                "calls.error_millis." + stage, Math.round(Math.abs(tookMillis - expectedMillis)));
+    }
+
     /** Adds a duration in milliseconds to the histogram with the given name. */
     public void recordDuration(String name, long millis) {
         mRegistry
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -1,11 +1,10 @@
 package org.vanilladoor.gateway;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.fleet.CallCost;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.quarantine.PromptVerdict;
 import org.vanilladoor.route.AuthorizedTeam;
@@ -42,7 +41,7 @@
     private final long mDeadlineMillis;
     private final RequestLog mLog;
     private final AttemptBudget mAttemptBudget;
-    private final Set<String> mExcludedEndpoints = new HashSet<>();
+    private final EndpointChoice mChoice;
     private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
     private Runnable mOnEnd = () -> {};
@@ -70,6 +69,7 @@
                         context.retryBudgets().forService(mService),
                         context.state()::vmCount,
                         context.metrics());
+        mChoice = EndpointChoice.create(context, request, route, mService);
         mDeadlineMillis = mProgress.deadlineMillis();
     }
 
@@ -103,10 +103,14 @@
         }
         boolean isSeparate = needsSeparatePrefill();
         reportPrefill(isSeparate);
-        if (!isSeparate) {
+        boolean isTurnOfOthers = mChoice.isByCost() && waitQueue().size() > 0;
+        if (!isSeparate && !mChoice.isOutOfMemory(mKvCache)) {
             startRun();
-        } else if (!tryStartPrefill()) {
+        } else if (!isSeparate || isTurnOfOthers || !tryStartPrefill()) {
             enqueue();
+            if (isTurnOfOthers) {
+                waitQueue().advance(MonotonicClock.nowMillis());
+            }
         }
     }
 
@@ -120,7 +124,7 @@
         }
         // A trial has to reach as few engines as possible, and a stream that pauses has no time.
         mSkipSeparatePrefill |= verdict == PromptVerdict.TRIAL || isStreaming();
-        if (!mContext.placement().hasEndpoint(mService, mExcludedEndpoints, nowMillis)) {
+        if (!mChoice.hasEndpoint()) {
             endWithNoEndpoint();
             return true;
         }
@@ -139,7 +143,8 @@
         return mKvCache.kept().isEmpty()
                 && !mSkipSeparatePrefill
                 && tokens > SEPARATE_PREFILL_THRESHOLD_TOKENS
-                && mContext.placement().hasPrefillEngines(mService, mExcludedEndpoints);
+                && mChoice.hasPrefillEngines()
+                && !mChoice.isOwnPrefillSooner();
     }
 
     private void enqueue() {
@@ -151,7 +156,7 @@
                 mDeadlineMillis - RESPONSE_OVERHEAD_MILLIS - mRoute.objectiveMillis() / 2;
         long nowMillis = MonotonicClock.nowMillis();
         if (nowMillis >= latestMillis) {
-            endWithFailure(Refusal.OVERLOADED, "no prefill engine has room before the deadline");
+            endWithFailure(Refusal.OVERLOADED, "no engine has room before the deadline");
             return;
         }
         mQueuedRequest =
@@ -169,10 +174,7 @@
 
     private boolean tryStartPrefill() {
         long nowMillis = MonotonicClock.nowMillis();
-        String affinityKey = mRequest.prompt().map(PromptMetadata::affinityKey).orElse("");
-        Optional<Endpoint> prefillEngine =
-                mContext.placement()
-                        .choosePrefillEngine(mService, affinityKey, mExcludedEndpoints, nowMillis);
+        Optional<Endpoint> prefillEngine = mChoice.prefillEngine();
         if (prefillEngine.isEmpty()) {
             return false;
         }
@@ -199,10 +201,7 @@
 
     private void startRun() {
         long nowMillis = MonotonicClock.nowMillis();
-        Optional<Endpoint> endpoint =
-                mContext.placement()
-                        .chooseEndpoint(
-                                mService, mKvCache.failureDomain(), mExcludedEndpoints, nowMillis);
+        Optional<Endpoint> endpoint = mChoice.runEndpoint(mKvCache);
         if (endpoint.isEmpty()) {
             endWithNoEndpoint();
             return;
@@ -217,23 +216,15 @@
 
     /** Ends the request after all endpoints have rejected it, or because the service has none. */
     private void endWithNoEndpoint() {
-        long nowMillis = MonotonicClock.nowMillis();
-        if (mContext.placement()
-                .millisUntilRoom(mService, mExcludedEndpoints, nowMillis)
-                .isPresent()) {
-            endWithFailure(Refusal.LIMITED, "the limits of all endpoints are used up");
-            return;
-        }
-        boolean hasOthers = mContext.placement().hasEndpoint(mService, Set.of(), nowMillis);
         endWithFailure(
-                hasOthers ? Refusal.NOT_RUN : Refusal.NO_ENDPOINT,
-                "no endpoint is available for the request");
+                mChoice.refusalWithoutEndpoint(), "no endpoint is available for the request");
     }
 
     private void send(Endpoint endpoint, EndpointCall.Stage stage) {
         mAttemptBudget.recordSent(stage);
         mContext.metrics().countCall(stage);
         long nowMillis = MonotonicClock.nowMillis();
+        CallCost cost = mChoice.openCall(endpoint, stage, mKvCache);
         EndpointCall call =
                 new EndpointCall(
                         endpoint,
@@ -243,20 +234,20 @@
                         Urgency.of(mRoute, mTeam),
                         stage == EndpointCall.Stage.RUN ? mKvCache.takeForCall() : Optional.empty(),
                         mProgress.events().lastIdentifier().or(mRequest::lastEventIdentifier));
-        mLog.writeSent(
-                stage, endpoint, mAttemptBudget.calls(), nowMillis - mProgress.arrivedMillis());
+        mLog.writeSent(call, mAttemptBudget.calls(), nowMillis - mProgress.arrivedMillis(), cost);
         mCall =
                 EndpointExchange.send(
                         mContext,
                         mRequest,
                         call,
+                        cost,
                         CONNECT_TIMEOUT_MILLIS,
-                        new EndpointResponseHandler(mContext, this, stage));
+                        new EndpointResponseHandler(mContext, this, stage, cost));
     }
 
     void retryElsewhere(Endpoint endpoint, String reason) {
         mCall = null;
-        mExcludedEndpoints.add(endpoint.name());
+        mChoice.exclude(endpoint);
         mLog.writeRetriedElsewhere(endpoint, reason);
         if (MonotonicClock.nowMillis() + RESPONSE_OVERHEAD_MILLIS >= mDeadlineMillis
                 || mAttemptBudget.isExhausted()) {
@@ -294,15 +285,9 @@
 
     private void refuse(Refusal refusal, String reason) {
         leaveQueue();
-        long nowMillis = MonotonicClock.nowMillis();
         long retryAfterMillis =
-                RetryAfter.millis(
-                        refusal,
-                        mRoute.objectiveMillis(),
-                        mContext.placement()
-                                .millisUntilRoom(mService, mExcludedEndpoints, nowMillis)
-                                .orElse(0),
-                        waitQueue().drainMillis(nowMillis));
+                mChoice.retryAfterMillis(
+                        refusal, waitQueue().drainMillis(MonotonicClock.nowMillis()));
         finish(mResponse.refuse(refusal, retryAfterMillis), reason);
     }
 
@@ -425,17 +410,27 @@
             if (isDone() || endIfNotSendable()) {
                 return true;
             }
-            if (needsSeparatePrefill() && !tryStartPrefill()) {
+            if (needsSeparatePrefill() ? !tryStartPrefill() : mChoice.isOutOfMemory(mKvCache)) {
                 return false;
             }
             mQueuedRequest = null;
             if (mCall == null && !isDone()) {
                 reportPrefill(false);
+                if (mChoice.isByCost()) {
+                    waitQueue().recordDeparture(MonotonicClock.nowMillis());
+                }
                 startRun();
             }
             return true;
         }
 
+        /** A request that needs much memory lets others pass in the first half of its time. */
+        @Override
+        public boolean blocksOthers() {
+            long halfTimeMillis = (mProgress.arrivedMillis() + mDeadlineMillis) / 2;
+            return MonotonicClock.nowMillis() > halfTimeMillis || !mChoice.isOutOfMemory(mKvCache);
+        }
+
         @Override
         public void abandon(int ahead, long turnMillis) {
             mQueuedRequest = null;
--- a/src/main/java/org/vanilladoor/gateway/RequestLog.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestLog.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.vanilladoor.common.EventLog;
+import org.vanilladoor.fleet.CallCost;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.route.Route;
 
@@ -15,20 +16,28 @@
 record RequestLog(String identifier) {
     private static final String PART = "gateway";
 
-    void writeSent(EndpointCall.Stage stage, Endpoint endpoint, int call, long afterMillis) {
+    /**
+     * Writes that a call is sent.
+     *
+     * @param number number of the request's calls, including this one
+     * @param afterMillis time since the request arrived
+     */
+    void writeSent(EndpointCall call, int number, long afterMillis, CallCost cost) {
         EventLog.write(
                 PART,
                 "request.sent",
                 "id",
                 identifier,
                 "stage",
-                stage,
+                call.stage(),
                 "endpoint",
-                endpoint.name(),
+                call.endpoint().name(),
                 "call",
-                call,
+                number,
                 "after_ms",
-                afterMillis);
+                afterMillis,
+                "expected_ms",
+                Math.round(cost.expectedMillis()));
     }
 
     void writeRetriedElsewhere(Endpoint endpoint, String reason) {
--- a/src/main/java/org/vanilladoor/gateway/WaitQueue.java
+++ b/src/main/java/org/vanilladoor/gateway/WaitQueue.java
@@ -86,8 +86,8 @@
     }
 
     /**
-     * Dispatches requests in order until one finds no room, and abandons those whose turn would
-     * come too late.
+     * Dispatches requests in order until one finds no room and lets none pass, and abandons those
+     * whose turn would come too late.
      *
      * <p>A request that ends calls this method again. Such a nested call does not recurse: it makes
      * the outer call repeat its pass over the queue.
@@ -115,9 +115,10 @@
             if (!mRequests.contains(request)) {
                 continue;
             }
-            hasRoom = hasRoom && request.attempt().tryDispatch();
+            boolean isDispatched = hasRoom && request.attempt().tryDispatch();
+            hasRoom = hasRoom && (isDispatched || !request.attempt().blocksOthers());
             long turnMillis = estimatedWaitMillis(ahead + 1, nowMillis);
-            if (hasRoom) {
+            if (isDispatched) {
                 mRequests.remove(request);
             } else if (nowMillis + turnMillis > request.latestMillis()) {
                 mRequests.remove(request);
@@ -158,6 +159,11 @@
         /** Tries to dispatch the request; returns whether it has left the queue. */
         boolean tryDispatch();
 
+        /** Returns whether others must wait as well, after this one could not be dispatched. */
+        default boolean blocksOthers() {
+            return true;
+        }
+
         /**
          * Ends the request, because its turn would come too late.
          *
--- a/src/test/java/org/vanilladoor/gateway/WaitQueueTests.java
+++ b/src/test/java/org/vanilladoor/gateway/WaitQueueTests.java
@@ -51,6 +51,19 @@
         assertThat(mQueue.size()).isEqualTo(1);
     }
 
+    /** Guards against a request that needs much memory and holds up all others. */
+    @Test
+    void aRequestThatLetsOthersPassStaysInTheQueue() {
+        WaitQueue.QueuedRequest large = mQueue.add(0, 200, 2_200, new PassableAttempt());
+        add("small", 0, 300);
+        mFreeSlots = 1;
+        mQueue.advance(100);
+        assertThat(mDispatched).containsExactly("small");
+        assertThat(mQueue.size()).isEqualTo(1);
+        mQueue.remove(large);
+        assertThat(mQueue.size()).isEqualTo(0);
+    }
+
     @Test
     void amongLateRequestsTheMostUrgentRankIsDispatchedFirst() {
         add("less urgent", 1, 90);
@@ -159,4 +172,22 @@
                     }
                 });
     }
+
+    /** Finds no room and lets others pass. */
+    private static final class PassableAttempt implements WaitQueue.Attempt {
+        @Override
+        public boolean tryDispatch() {
+            return false;
+        }
+
+        @Override
+        public boolean blocksOthers() {
+            return false;
+        }
+
+        @Override
+        public void abandon(int ahead, long turnMillis) {
+            // This test ends before that.
+        }
+    }
 }
