Report waiting and missed prompts and requests without a first event

Cause: the role planner gets two averages, prompts in prefill and running requests. Requests that only wait for their KV cache, or are at a crashed engine, count as running, and prompts that wait or are refused can't be told from those at engines.

Change: the report of a process also contains, by service, the prompts that wait, arrive, are prefilled and are missed (refused for want of a prefill engine, or sent to one after their objective), and the running requests without a first event, their tokens and the tokens generated. The two older figures mean what they meant, so that an older lease holder decides as before. The new ones are optional: in the report of an older process they are zero, that is, all of its running requests count as generating. Nothing uses them yet.

--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -31,6 +31,7 @@
     private final MemoryBudget.Account mBodyAccount;
     private OutgoingCall mOutgoingCall;
     private ControlLoop.Timer mTimeLimit = ControlLoop.Timer.NONE;
+    private boolean mAwaitsFirstEvent;
     private boolean mEnded;
 
     private EndpointExchange(
@@ -52,7 +53,7 @@
         EndpointExchange exchange = new EndpointExchange(context, request, call, listener);
         context.placement().recordStart(call.endpoint());
         context.placement().recordSent(call.endpoint(), MonotonicClock.nowMillis());
-        exchange.adjustRunningCount(1);
+        exchange.startLoad();
         exchange.mOutgoingCall =
                 context.connections()
                         .send(
@@ -162,7 +163,9 @@
         if (mEnded) {
             return;
         }
-        switch (mListener.onData(bytes)) {
+        Verdict verdict = mListener.onData(bytes);
+        endAwaitingOnceBegun();
+        switch (verdict) {
             case TOO_LONG -> {
                 mContext.placement().recordEndless(mCall.endpoint(), MonotonicClock.nowMillis());
                 endWithInvalidResponse("the response is larger than any valid one");
@@ -211,16 +214,50 @@
         mTimeLimit.cancel();
         mBodyAccount.close();
         mContext.placement().recordEnd(mCall.endpoint());
-        adjustRunningCount(-1);
+        endLoad();
         return true;
     }
 
-    private void adjustRunningCount(int change) {
+    private void startLoad() {
         if (mCall.stage() == EndpointCall.Stage.RUN) {
-            mContext.load().adjustRunning(mCall.endpoint().service(), change);
+            adjustLoad(ServiceLoadSink.Gauge.RUNNING, 1);
+            adjustLoad(ServiceLoadSink.Gauge.OUTPUT_TOKENS, outputTokens());
+            mAwaitsFirstEvent = !mListener.hasBegun();
+            adjustLoad(ServiceLoadSink.Gauge.AWAITING_FIRST_EVENT, mAwaitsFirstEvent ? 1 : 0);
         }
     }
 
+    private void endAwaitingOnceBegun() {
+        if (mAwaitsFirstEvent && mListener.hasBegun()) {
+            mAwaitsFirstEvent = false;
+            adjustLoad(ServiceLoadSink.Gauge.AWAITING_FIRST_EVENT, -1);
+        }
+    }
+
+    private void endLoad() {
+        if (mCall.stage() == EndpointCall.Stage.RUN) {
+            adjustLoad(ServiceLoadSink.Gauge.RUNNING, -1);
+            adjustLoad(ServiceLoadSink.Gauge.OUTPUT_TOKENS, -outputTokens());
+            if (mAwaitsFirstEvent) {
+                adjustLoad(ServiceLoadSink.Gauge.AWAITING_FIRST_EVENT, -1);
+            } else {
+                mContext.load()
+                        .count(
+                                mCall.endpoint().service(),
+                                ServiceLoadSink.Counter.GENERATED_TOKENS,
+                                outputTokens());
+            }
+        }
+    }
+
+    private void adjustLoad(ServiceLoadSink.Gauge gauge, long change) {
+        mContext.load().adjust(mCall.endpoint().service(), gauge, change);
+    }
+
+    private long outputTokens() {
+        return mRequest.prompt().map(PromptMetadata::maximumOutputTokens).orElse(0L);
+    }
+
     /** What is known of a response that is not complete. */
     enum Verdict {
         /** It may be valid. */
@@ -248,6 +285,12 @@
          */
         Verdict onData(byte[] bytes);
 
+        /**
+         * Returns whether the endpoint has begun to answer. A response that is a single message
+         * tells nothing of that, so that its request counts as begun.
+         */
+        boolean hasBegun();
+
         /** Returns the number of bytes that are kept of the response. */
         long heldBytes();
 
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -120,6 +120,11 @@
         };
     }
 
+    @Override
+    public boolean hasBegun() {
+        return mHasBegun || !mExecution.route().kind().isStreaming();
+    }
+
     @Override
     public long heldBytes() {
         return mContent == Content.EVENTS
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -42,13 +42,13 @@
     private final long mDeadlineMillis;
     private final RequestLog mLog;
     private final AttemptBudget mAttemptBudget;
+    private final PrefillLoad mPrefillLoad;
     private final Set<String> mExcludedEndpoints = new HashSet<>();
     private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
     private Runnable mOnEnd = () -> {};
     private WaitQueue.QueuedRequest mQueuedRequest;
     private EndpointExchange mCall;
-    private boolean mPrefillReported;
     private boolean mSkipSeparatePrefill;
 
     private RequestExecution(
@@ -71,6 +71,7 @@
                         context.state()::vmCount,
                         context.metrics());
         mDeadlineMillis = mProgress.deadlineMillis();
+        mPrefillLoad = PrefillLoad.create(context.load(), mService, mProgress.dueMillis(route));
     }
 
     static RequestExecution create(
@@ -102,7 +103,7 @@
             return;
         }
         boolean isSeparate = needsSeparatePrefill();
-        reportPrefill(isSeparate);
+        mPrefillLoad.setPrefilling(isSeparate);
         if (!isSeparate) {
             startRun();
         } else if (!tryStartPrefill()) {
@@ -127,13 +128,6 @@
         return false;
     }
 
-    private void reportPrefill(boolean isPrefilling) {
-        if (isPrefilling != mPrefillReported) {
-            mPrefillReported = isPrefilling;
-            mContext.load().adjustPrefills(mService, isPrefilling ? 1 : -1);
-        }
-    }
-
     private boolean needsSeparatePrefill() {
         long tokens = mRequest.prompt().map(PromptMetadata::promptTokens).orElse(0L);
         return mKvCache.kept().isEmpty()
@@ -161,6 +155,7 @@
                                 mProgress.arrivedMillis() + mRoute.objectiveMillis(),
                                 latestMillis,
                                 new QueuedAttempt());
+        mPrefillLoad.startWaiting();
     }
 
     private WaitQueue waitQueue() {
@@ -293,6 +288,7 @@
     }
 
     private void refuse(Refusal refusal, String reason) {
+        mPrefillLoad.recordRefusal(refusal);
         leaveQueue();
         long nowMillis = MonotonicClock.nowMillis();
         long retryAfterMillis =
@@ -345,7 +341,7 @@
 
     /** Accounts for the request, whose response has ended. */
     private void finish(CallerResponse.End end, String reason) {
-        reportPrefill(false);
+        mPrefillLoad.setPrefilling(false);
         leaveQueue();
         mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS);
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
@@ -359,6 +355,7 @@
         if (mQueuedRequest != null) {
             waitQueue().remove(mQueuedRequest);
             mQueuedRequest = null;
+            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
         }
     }
 
@@ -409,6 +406,7 @@
     /** Continues with the run after a separate prefill. */
     void onPrefillComplete(KvCacheReference kvCache) {
         mAttemptBudget.recordPrefillAccepted();
+        mPrefillLoad.recordPrefilled();
         mKvCache.keep(kvCache);
         proceed();
         waitQueue().advance(MonotonicClock.nowMillis());
@@ -429,8 +427,9 @@
                 return false;
             }
             mQueuedRequest = null;
+            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
             if (mCall == null && !isDone()) {
-                reportPrefill(false);
+                mPrefillLoad.setPrefilling(false);
                 startRun();
             }
             return true;
@@ -439,6 +438,7 @@
         @Override
         public void abandon(int ahead, long turnMillis) {
             mQueuedRequest = null;
+            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
             if (!isDone()) {
                 endWithFailure(
                         Refusal.OVERLOADED,
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -32,6 +32,11 @@
         return mArrivedMillis;
     }
 
+    /** Returns the time by which the first byte of the response is due. */
+    long dueMillis(Route route) {
+        return mArrivedMillis + route.objectiveMillis();
+    }
+
     /** Returns the time at which the request has to have its response. */
     long deadlineMillis() {
         return mDeadlineMillis;
--- a/src/main/java/org/vanilladoor/leader/LeaderTasks.java
+++ b/src/main/java/org/vanilladoor/leader/LeaderTasks.java
@@ -119,13 +119,13 @@
     }
 
     @Override
-    public void adjustPrefills(String service, int change) {
-        mLoadMeter.changePrefilling(service, change, MonotonicClock.nowMillis());
+    public void adjust(String service, Gauge gauge, long change) {
+        mLoadMeter.change(service, gauge, change, MonotonicClock.nowMillis());
     }
 
     @Override
-    public void adjustRunning(String service, int change) {
-        mLoadMeter.changeRunning(service, change, MonotonicClock.nowMillis());
+    public void count(String service, Counter counter, long number) {
+        mLoadMeter.count(service, counter, number, MonotonicClock.nowMillis());
     }
 
     private void tick(ServingState state) {
--- a/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
@@ -110,7 +110,7 @@
     private void writeReport(long now) {
         mReportWrittenMillis = now;
         mLoadMeter
-                .takeAverages(now)
+                .takeLoads(now)
                 .forEach(
                         (service, load) ->
                                 mSmoothedLoads.merge(service, load, ServiceLoad::smoothedWith));
--- a/src/main/java/org/vanilladoor/leader/ServiceLoad.java
+++ b/src/main/java/org/vanilladoor/leader/ServiceLoad.java
@@ -1,25 +1,59 @@
 package org.vanilladoor.leader;
 
 /**
- * The average number of calls at the endpoints of one service.
+ * The load of the endpoints of one service.
  *
- * <p>Immutable and safe for use by any thread.
+ * <p>Reports of older processes contain the first two figures only; the others are then {@code
+ * NONE}, and older processes ignore them. Immutable and safe for use by any thread.
  *
- * @param reading prompts in prefill on a separate engine, including those that wait for it
- * @param running requests that are running
+ * @param reading average number of prompts in prefill on a separate engine, including those that
+ *     wait for it
+ * @param running average number of requests sent to an endpoint that runs them, including those
+ *     that it has not begun to answer
+ * @param prompts prompts that arrive at, wait for and leave the prefill engines
+ * @param generation what the running requests still need
  */
-public record ServiceLoad(double reading, double running) {
+public record ServiceLoad(
+        double reading, double running, PromptFlow prompts, GenerationLoad generation) {
     /** No calls. */
     public static final ServiceLoad NONE = new ServiceLoad(0, 0);
 
+    public ServiceLoad {
+        prompts = prompts == null ? PromptFlow.NONE : prompts;
+        generation = generation == null ? GenerationLoad.NONE : generation;
+    }
+
+    /** Creates the load that an older process reports. */
+    public ServiceLoad(double reading, double running) {
+        this(reading, running, PromptFlow.NONE, GenerationLoad.NONE);
+    }
+
     /** Returns the sum by component. */
     public ServiceLoad plus(ServiceLoad other) {
-        return new ServiceLoad(reading + other.reading, running + other.running);
+        return new ServiceLoad(
+                reading + other.reading,
+                running + other.running,
+                prompts.plus(other.prompts),
+                generation.plus(other.generation));
     }
 
-    /** Returns the maximum by component. */
+    /** Returns the maximum of the first two components; the others are this load's. */
     public ServiceLoad max(ServiceLoad other) {
-        return new ServiceLoad(Math.max(reading, other.reading), Math.max(running, other.running));
+        return new ServiceLoad(
+                Math.max(reading, other.reading),
+                Math.max(running, other.running),
+                prompts,
+                generation);
+    }
+
+    /** Returns the average number of requests whose endpoint has begun to answer. */
+    public double generating() {
+        return Math.max(0, running - generation.awaiting);
+    }
+
+    /** Returns the average number of prompts at prefill engines. */
+    public double prefilling() {
+        return Math.max(0, reading - prompts.waiting);
     }
 
     /**
@@ -31,6 +65,73 @@
     public ServiceLoad smoothedWith(ServiceLoad latest) {
         return new ServiceLoad(
                 Math.max(latest.reading, (reading + latest.reading) / 2),
-                Math.max(latest.running, (running + latest.running) / 2));
+                Math.max(latest.running, (running + latest.running) / 2),
+                prompts.smoothedWith(latest.prompts),
+                generation.smoothedWith(latest.generation));
+    }
+
+    /**
+     * Prompts that are prefilled on a separate engine.
+     *
+     * @param waiting average number that wait for an engine with room
+     * @param arriving number that arrive per second
+     * @param prefilled number that engines prefill per second
+     * @param missed number per second that were refused for want of an engine with room, or got one
+     *     only after their objective
+     */
+    public record PromptFlow(double waiting, double arriving, double prefilled, double missed) {
+        /** No prompts. */
+        public static final PromptFlow NONE = new PromptFlow(0, 0, 0, 0);
+
+        private PromptFlow plus(PromptFlow other) {
+            return new PromptFlow(
+                    waiting + other.waiting,
+                    arriving + other.arriving,
+                    prefilled + other.prefilled,
+                    missed + other.missed);
+        }
+
+        /**
+         * Rates are averaged in both directions. If a rise counted in full, chance differences
+         * between the reports of many processes would add up to a higher rate than there is.
+         */
+        private PromptFlow smoothedWith(PromptFlow latest) {
+            return new PromptFlow(
+                    Math.max(latest.waiting, (waiting + latest.waiting) / 2),
+                    (arriving + latest.arriving) / 2,
+                    (prefilled + latest.prefilled) / 2,
+                    Math.max(latest.missed, (missed + latest.missed) / 2));
+        }
+    }
+
+    /**
+     * Tokens that the running requests are to get.
+     *
+     * @param awaiting average number of running requests without a first event; most of them wait
+     *     for their KV cache, and some may be at an engine that has crashed
+     * @param outputTokens average number of tokens that the running requests may generate
+     * @param generated number of tokens of the requests that end per second
+     */
+    public record GenerationLoad(double awaiting, double outputTokens, double generated) {
+        /** No requests. */
+        public static final GenerationLoad NONE = new GenerationLoad(0, 0, 0);
+
+        private GenerationLoad plus(GenerationLoad other) {
+            return new GenerationLoad(
+                    awaiting + other.awaiting,
+                    outputTokens + other.outputTokens,
+                    generated + other.generated);
+        }
+
+        /**
+         * Waiting requests are averaged in both directions, since they are subtracted from the
+         * running ones, of which a rise counts in full.
+         */
+        private GenerationLoad smoothedWith(GenerationLoad latest) {
+            return new GenerationLoad(
+                    (awaiting + latest.awaiting) / 2,
+                    (outputTokens + latest.outputTokens) / 2,
+                    (generated + latest.generated) / 2);
+        }
     }
 }
--- a/src/main/java/org/vanilladoor/leader/ServiceLoadMeter.java
+++ b/src/main/java/org/vanilladoor/leader/ServiceLoadMeter.java
@@ -1,17 +1,20 @@
 package org.vanilladoor.leader;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
+import org.vanilladoor.gateway.ServiceLoadSink.Counter;
+import org.vanilladoor.gateway.ServiceLoadSink.Gauge;
 
 /**
- * Measures the average number of this VM's calls at each service's endpoints.
+ * Measures the load that this VM's calls put on each service's endpoints.
  *
  * <p>Time is passed in as an argument, in milliseconds of a monotonic clock. Confined to the
  * control thread.
  */
 public final class ServiceLoadMeter {
-    private final Map<String, CallAverage> mPrefilling = new HashMap<>();
-    private final Map<String, CallAverage> mRunning = new HashMap<>();
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private final Map<String, ServiceMeter> mMeters = new HashMap<>();
 
     private ServiceLoadMeter() {}
 
@@ -20,38 +23,67 @@
         return new ServiceLoadMeter();
     }
 
-    /** Adds the change to the number of prompts that wait for or are in separate prefill. */
-    public void changePrefilling(String service, int change, long nowMillis) {
-        mPrefilling
-                .computeIfAbsent(service, name -> new CallAverage(nowMillis))
-                .change(change, nowMillis);
+    /** Adds a change to a number of calls, or of what they need. */
+    public void change(String service, Gauge gauge, long change, long nowMillis) {
+        meter(service, nowMillis).average(gauge).change(change, nowMillis);
     }
 
-    /** Adds the change to the number of running requests. */
-    public void changeRunning(String service, int change, long nowMillis) {
-        mRunning.computeIfAbsent(service, name -> new CallAverage(nowMillis))
-                .change(change, nowMillis);
+    /** Adds to a number of events. */
+    public void count(String service, Counter counter, long number, long nowMillis) {
+        meter(service, nowMillis).mCounts.merge(counter, number, Long::sum);
     }
 
-    /** Returns the averages by service since this method was last called, and starts new ones. */
-    public Map<String, ServiceLoad> takeAverages(long nowMillis) {
+    /** Returns the load by service since this method was last called, and starts new averages. */
+    public Map<String, ServiceLoad> takeLoads(long nowMillis) {
         Map<String, ServiceLoad> loads = new HashMap<>();
-        mPrefilling.forEach(
-                (service, average) ->
-                        loads.merge(
-                                service,
-                                new ServiceLoad(average.takeAverage(nowMillis), 0),
-                                ServiceLoad::plus));
-        mRunning.forEach(
-                (service, average) ->
-                        loads.merge(
-                                service,
-                                new ServiceLoad(0, average.takeAverage(nowMillis)),
-                                ServiceLoad::plus));
+        mMeters.forEach((service, meter) -> loads.put(service, meter.takeLoad(nowMillis)));
         return loads;
     }
 
-    /** The number of calls of one kind and its integral over time. */
+    private ServiceMeter meter(String service, long nowMillis) {
+        return mMeters.computeIfAbsent(service, name -> new ServiceMeter(nowMillis));
+    }
+
+    /** The numbers of one service. */
+    private static final class ServiceMeter {
+        private final Map<Gauge, CallAverage> mAverages = new EnumMap<>(Gauge.class);
+        private final Map<Counter, Long> mCounts = new EnumMap<>(Counter.class);
+        private long mMeasuredSinceMillis;
+
+        ServiceMeter(long nowMillis) {
+            mMeasuredSinceMillis = nowMillis;
+        }
+
+        CallAverage average(Gauge gauge) {
+            return mAverages.computeIfAbsent(gauge, key -> new CallAverage(mMeasuredSinceMillis));
+        }
+
+        ServiceLoad takeLoad(long nowMillis) {
+            double seconds = Math.max(1, nowMillis - mMeasuredSinceMillis) / MILLIS_PER_SECOND;
+            ServiceLoad load =
+                    new ServiceLoad(
+                            average(Gauge.PREFILLS).takeAverage(nowMillis),
+                            average(Gauge.RUNNING).takeAverage(nowMillis),
+                            new ServiceLoad.PromptFlow(
+                                    average(Gauge.WAITING_PROMPTS).takeAverage(nowMillis),
+                                    takeRate(Counter.ARRIVED_PROMPTS, seconds),
+                                    takeRate(Counter.PREFILLED_PROMPTS, seconds),
+                                    takeRate(Counter.MISSED_PROMPTS, seconds)),
+                            new ServiceLoad.GenerationLoad(
+                                    average(Gauge.AWAITING_FIRST_EVENT).takeAverage(nowMillis),
+                                    average(Gauge.OUTPUT_TOKENS).takeAverage(nowMillis),
+                                    takeRate(Counter.GENERATED_TOKENS, seconds)));
+            mMeasuredSinceMillis = nowMillis;
+            return load;
+        }
+
+        private double takeRate(Counter counter, double seconds) {
+            Long number = mCounts.remove(counter);
+            return number == null ? 0 : number / seconds;
+        }
+    }
+
+    /** A number and its integral over time. */
     private static final class CallAverage {
         private long mMeasuredSinceMillis;
         private long mChangedMillis;
@@ -63,7 +95,7 @@
             mChangedMillis = nowMillis;
         }
 
-        void change(int change, long nowMillis) {
+        void change(long change, long nowMillis) {
             mCallMillis += (double) mCount * (nowMillis - mChangedMillis);
             mChangedMillis = nowMillis;
             mCount += change;
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -300,12 +300,12 @@
     /** Ignores all load changes. */
     private static final class IgnoringLoadSink implements ServiceLoadSink {
         @Override
-        public void adjustPrefills(String service, int change) {
+        public void adjust(String service, Gauge gauge, long change) {
             // Load is not checked by these tests.
         }
 
         @Override
-        public void adjustRunning(String service, int change) {
+        public void count(String service, Counter counter, long number) {
             // Load is not checked by these tests.
         }
     }
