--- a/src/main/java/org/vanilladoor/leader/RoleChangeTask.java
+++ b/src/main/java/org/vanilladoor/leader/RoleChangeTask.java
@@ -99,24 +99,53 @@
                 planner.decide(service, endpoints(service), load, now)) {
             if (mOpenChanges.putIfAbsent(change.engine().name(), change.role()) == null) {
                 planner.recordOrder(change, now);
-                EventLog.write(
-                        "role",
-                        "change.decided",
-                        "endpoint",
-                        change.engine().name(),
-                        "role",
-                        change.role(),
-                        "reading",
-                        load.reading(),
-                        "running",
-                        load.running(),
-                        "term",
-                        mTerm);
+                logDecision(change, load, planner.demand());
                 announceAndOrder(change, lease);
             }
         }
     }
 
+    private void logDecision(
+            RolePlanner.RoleAssignment change, ServiceLoad load, RolePlanner.RoleDemand demand) {
+        EventLog.write(
+                "role",
+                "change.decided",
+                "endpoint",
+                change.engine().name(),
+                "role",
+                change.role(),
+                "reading",
+                load.reading(),
+                "running",
+                load.running(),
+                "waiting",
+                load.prompts().waiting(),
+                "arriving",
+                load.prompts().arriving(),
+                "prefilled",
+                load.prompts().prefilled(),
+                "missed",
+                load.prompts().missed(),
+                "generating",
+                load.generating(),
+                "output_tokens",
+                load.generation().outputTokens(),
+                "per_engine",
+                demand.promptsPerEngineSecond(),
+                "prefill_needs",
+                demand.prefill(),
+                "decode_needs",
+                demand.decode(),
+                "decode_peak_needs",
+                demand.decodePeak(),
+                "prefill_starving",
+                demand.isPrefillStarving(),
+                "decode_starving",
+                demand.isDecodeStarving(),
+                "term",
+                mTerm);
+    }
+
     /**
      * Returns the endpoints that take what they are sent; those with an open change count as
      * changing to its role. Those that limit their requests don't count, so that others take their
--- a/src/main/java/org/vanilladoor/leader/ServiceLoad.java
+++ b/src/main/java/org/vanilladoor/leader/ServiceLoad.java
@@ -92,14 +92,14 @@
         }
 
         /**
-         * Rates are averaged in both directions. If a rise counted in full, chance differences
-         * between the reports of many processes would add up to a higher rate than there is.
+         * Rates are the latest. Chance differences between the reports of many processes cancel out
+         * in the sum; if only falls were delayed, they would add up to a higher rate than there is.
          */
         private PromptFlow smoothedWith(PromptFlow latest) {
             return new PromptFlow(
                     Math.max(latest.waiting, (waiting + latest.waiting) / 2),
-                    (arriving + latest.arriving) / 2,
-                    (prefilled + latest.prefilled) / 2,
+                    latest.arriving,
+                    latest.prefilled,
                     Math.max(latest.missed, (missed + latest.missed) / 2));
         }
     }
@@ -124,8 +124,8 @@
         }
 
         /**
-         * Waiting requests are averaged in both directions, since they are subtracted from the
-         * running ones, of which a rise counts in full.
+         * Waiting requests are averaged, since they are subtracted from the running ones, of which
+         * a fall counts by half.
          */
         private GenerationLoad smoothedWith(GenerationLoad latest) {
             return new GenerationLoad(
