--- a/src/test/java/org/vanilladoor/leader/RoleReplay.java
+++ b/src/test/java/org/vanilladoor/leader/RoleReplay.java
@@ -52,7 +52,7 @@
                                     SLOTS, 716_145, ROLE_CHANGE_MILLIS)),
                     Optional.empty());
 
-    private final RolePlanner mPlanner = RolePlanner.create();
+    private final Planner mPlanner;
     private final ServiceLoadMeter mMeter = ServiceLoadMeter.create();
     private final Map<String, Engine> mEngines = new HashMap<>();
     private final Deque<Long> mQueue = new ArrayDeque<>();
@@ -68,6 +68,34 @@
     private int mAwaitingNow;
     private long mNow;
 
+    private RoleReplay(Planner planner) {
+        mPlanner = planner;
+    }
+
+    /** Creates a replay that the planner decides. */
+    static RoleReplay create() {
+        RolePlanner planner = RolePlanner.create();
+        return new RoleReplay(
+                (endpoints, load, nowMillis) -> {
+                    List<RolePlanner.RoleAssignment> changes =
+                            planner.decide(DEFINITION, endpoints, load, nowMillis);
+                    changes.forEach(change -> planner.recordOrder(change, nowMillis));
+                    return changes;
+                });
+    }
+
+    /** Creates a replay that the previous planner decides. */
+    static RoleReplay createWithPreviousPlanner() {
+        PreviousRolePlanner planner = PreviousRolePlanner.create();
+        return new RoleReplay(
+                (endpoints, load, nowMillis) -> {
+                    List<RolePlanner.RoleAssignment> changes =
+                            planner.decide(DEFINITION, endpoints, load, nowMillis);
+                    changes.forEach(change -> planner.recordOrder(change, nowMillis));
+                    return changes;
+                });
+    }
+
     /** Sets the prompts that arrive per second, by time. */
     RoleReplay prompts(IntUnaryOperator perSecond) {
         mPromptsPerSecond = perSecond;
@@ -135,8 +163,7 @@
                         .sorted(Comparator.comparing(Endpoint::name))
                         .toList();
         for (RolePlanner.RoleAssignment change :
-                mPlanner.decide(DEFINITION, endpoints, mReports.getFirst(), mNow)) {
-            mPlanner.recordOrder(change, mNow);
+                mPlanner.decide(endpoints, mReports.getFirst(), mNow)) {
             mChanges.add(new Change(mNow, change.engine().name(), change.role()));
             Engine engine = mEngines.get(change.engine().name());
             mQueue.addAll(engine.mHeld);
@@ -265,6 +292,12 @@
         return mRefusedMillis;
     }
 
+    /** Decides role changes and records them as ordered. */
+    private interface Planner {
+        List<RolePlanner.RoleAssignment> decide(
+                List<Endpoint> endpoints, ServiceLoad load, long nowMillis);
+    }
+
     /** A role change that the planner ordered. */
     record Change(long millis, String engine, EngineRole role) {}
 
--- a/src/test/java/org/vanilladoor/leader/RoleReplayTests.java
+++ b/src/test/java/org/vanilladoor/leader/RoleReplayTests.java
@@ -4,8 +4,11 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.vanilladoor.engine.EngineRole;
 
 /**
@@ -24,7 +27,7 @@
     @Test
     void slowTransfersAndLostEnginesDoNotTakeThePrefillEngines() {
         RoleReplay replay =
-                new RoleReplay()
+                RoleReplay.create()
                         .addEngines("a", EngineRole.PREFILL, 5)
                         .addEngines("b", EngineRole.PREFILL, 5)
                         .addEngines("c", EngineRole.PREFILL, 5)
@@ -79,7 +82,7 @@
     @Test
     void waitingPromptsAreHeardWhileAPeakOfRunningRequestsDecays() {
         RoleReplay replay =
-                new RoleReplay()
+                RoleReplay.create()
                         .addEngines("a", EngineRole.PREFILL, 5)
                         .addEngines("b", EngineRole.PREFILL, 5)
                         .addEngines("b", EngineRole.DECODE, 3)
@@ -102,7 +105,7 @@
     @Test
     void enginesAreSharedByNeedWhenThereAreTooFewForBothPhases() {
         RoleReplay replay =
-                new RoleReplay()
+                RoleReplay.create()
                         .addEngines("a", EngineRole.PREFILL, 4)
                         .addEngines("b", EngineRole.PREFILL, 4)
                         .addEngines("b", EngineRole.DECODE, 4)
@@ -120,7 +123,7 @@
     @Test
     void rolesDoNotFlapWhileTheLoadSwings() {
         RoleReplay replay =
-                new RoleReplay()
+                RoleReplay.create()
                         .addEngines("a", EngineRole.PREFILL, 5)
                         .addEngines("b", EngineRole.PREFILL, 5)
                         .addEngines("b", EngineRole.DECODE, 3)
@@ -139,7 +142,7 @@
     @Test
     void aBurstThatIsOverBeforeAnEngineCouldHelpChangesNoRole() {
         RoleReplay replay =
-                new RoleReplay()
+                RoleReplay.create()
                         .addEngines("a", EngineRole.PREFILL, 6)
                         .addEngines("b", EngineRole.DECODE, 6)
                         .prompts(millis -> millis >= 15_000 && millis < 16_000 ? 400 : 90)
@@ -149,4 +152,34 @@
         assertThat(replay.changes().stream().filter(each -> each.millis() > 10_000).toList())
                 .isEmpty();
     }
+
+    /**
+     * On calm days, as of earlier deployments, prompts leave the prefill engines room, and chats
+     * rise to three times their number within seconds. The new figures change no decision then.
+     */
+    @ParameterizedTest
+    @CsvSource({"40,10,0", "90,10,20", "60,30,4", "40,30,0", "10,30,0", "150,4,0", "0,30,0"})
+    void calmLoadsAreDecidedAsBefore(int prompts, int running, int awaiting) {
+        List<RoleReplay.Change> changes = calmDay(RoleReplay.create(), prompts, running, awaiting);
+        List<RoleReplay.Change> previous =
+                calmDay(RoleReplay.createWithPreviousPlanner(), prompts, running, 0);
+        assertThat(changes).isEqualTo(previous);
+    }
+
+    /** Plays loads; requests that wait for their cache come on top of those that generate. */
+    private static List<RoleReplay.Change> calmDay(
+            RoleReplay replay, int prompts, int running, int awaiting) {
+        replay.addEngines("a", EngineRole.DECODE, 6)
+                .addEngines("b", EngineRole.DECODE, 6)
+                .addEngines("c", EngineRole.DECODE, 4)
+                .prompts(millis -> prompts)
+                .running(
+                        millis -> awaiting + (millis / 10_000 % 6 == 3 ? 3 * running : running),
+                        millis -> awaiting);
+        replay.playUntil(150_000, () -> {});
+        assertWithMessage("refused once there are prefill engines")
+                .that(replay.refusedMillis().stream().filter(each -> each > 10_000).toList())
+                .isEmpty();
+        return replay.changes();
+    }
 }
