Size the fleet by the work while callers lack nothing

Cause: the planner orders twice the initial size in reclaimable engines at once and keeps it, whatever the load; endpoint seconds are the largest price.

Change: FleetDemand states the size that the peak of the last 40 to 80 s needs: prefill engines busy half of the time, slots used to 0.55, a quarter in decode, times 1.5 for growth while others start, times D / (D - 1) for the loss of one domain's reclaimable engines. The size is that, but at least the initial size and at most the one of before. It is as before while prompts are missed, slots are nearly used up, the rate of an engine is not known for 10 s, or reports come from older processes. The holder's report carries the initial size, since the next one can't tell it from a sized fleet. The size log lines contain the figures that decided.

At 60 prompts/s and 30 per engine, 12 initial engines: 14 instead of 24; after the loss of a third, the prefill engines left prefill more than 1.5 times the prompts. At the largest recorded load (227/s) the size is that of before. Not built: work by failure domain, a smaller first order.

--- a/src/main/java/org/vanilladoor/leader/MemberReport.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReport.java
@@ -14,18 +14,32 @@
  * @param wallMillis wall-clock time up to which the counts are complete, in milliseconds since 1970
  * @param usage number of requests that began to run, by usage window and team
  * @param work load of each service's endpoints, by name of the service
+ * @param initialSizes number of endpoints of each scaled service before any was ordered, by name of
+ *     the service, if this process has been the lease holder; reports of older processes have none
  */
 public record MemberReport(
         String machine,
         String incarnation,
         long wallMillis,
         Map<Long, Map<String, Long>> usage,
-        Map<String, ServiceLoad> work) {
+        Map<String, ServiceLoad> work,
+        Map<String, Integer> initialSizes) {
     public MemberReport {
         Objects.requireNonNull(machine, "machine");
         Objects.requireNonNull(incarnation, "incarnation");
         usage = usage == null ? Map.of() : copyOf(usage);
         work = work == null ? Map.of() : Map.copyOf(work);
+        initialSizes = initialSizes == null ? Map.of() : Map.copyOf(initialSizes);
+    }
+
+    /** Creates the report of a process that has not scaled any service. */
+    public MemberReport(
+            String machine,
+            String incarnation,
+            long wallMillis,
+            Map<Long, Map<String, Long>> usage,
+            Map<String, ServiceLoad> work) {
+        this(machine, incarnation, wallMillis, usage, work, Map.of());
     }
 
     /** Copies the maps of all windows; fails if one contains null. */
--- a/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
@@ -120,7 +120,8 @@
                         mIncarnation,
                         mWallClock.nowMillis(),
                         mUsageCounter.counts(),
-                        new HashMap<>(mSmoothedLoads));
+                        new HashMap<>(mSmoothedLoads),
+                        mMembers.initialSizes());
         mReportWriter
                 .write(Json.write(report))
                 .exceptionally(
--- a/src/main/java/org/vanilladoor/leader/MemberView.java
+++ b/src/main/java/org/vanilladoor/leader/MemberView.java
@@ -61,6 +61,7 @@
 
     private final String mOwnObject;
     private final Map<String, TrackedReport> mReports = new TreeMap<>();
+    private final Map<String, Integer> mInitialSizes = new TreeMap<>();
     private boolean mEverListed;
     private long mListedMillis;
     private long mGaplessSinceMillis;
@@ -202,6 +203,29 @@
         return sums;
     }
 
+    /**
+     * Records the number of endpoints that a service had before any was ordered, so that the next
+     * lease holder finds it in this process's report.
+     */
+    public void recordInitialSize(String service, int size) {
+        mInitialSizes.put(service, size);
+    }
+
+    /** Returns the recorded initial sizes by service. */
+    public Map<String, Integer> initialSizes() {
+        return Map.copyOf(mInitialSizes);
+    }
+
+    /** Returns the initial size of a service that a lease holder has reported; 0 if none has. */
+    public int reportedInitialSize(String service) {
+        return mReports.values().stream()
+                .mapToInt(
+                        tracked ->
+                                tracked.listed().report().initialSizes().getOrDefault(service, 0))
+                .max()
+                .orElse(0);
+    }
+
     /** Returns the requests of a usage window by team, from live and dead processes. */
     public Map<String, Long> usageByTeam(long window) {
         Map<String, Long> sums = new TreeMap<>();
--- a/src/main/java/org/vanilladoor/leader/RecentPeak.java
+++ b/src/main/java/org/vanilladoor/leader/RecentPeak.java
@@ -1,31 +1,30 @@
 package org.vanilladoor.leader;
 
 /**
- * The largest of the values of the last 6 to 12 seconds.
+ * The largest of the values of the last one to two periods.
  *
- * <p>An engine that changes its role and has to change back is away for two changes and the age of
- * the reports, about that time; a load that returned within it made the change useless. Time is
- * passed in as an argument. Confined to the control thread.
+ * <p>Time is passed in as an argument. Confined to the control thread.
  */
 final class RecentPeak {
-    private static final long PERIOD_MILLIS = 6_000;
-
+    private final long mPeriodMillis;
     private double mPrevious;
     private double mCurrent;
     private long mPeriodStartMillis = Long.MIN_VALUE / 2;
 
-    private RecentPeak() {}
+    private RecentPeak(long periodMillis) {
+        mPeriodMillis = periodMillis;
+    }
 
     /** Creates a peak without values. */
-    static RecentPeak create() {
-        return new RecentPeak();
+    static RecentPeak create(long periodMillis) {
+        return new RecentPeak(periodMillis);
     }
 
     /** Adds a value. */
     void add(double value, long nowMillis) {
         long elapsedMillis = nowMillis - mPeriodStartMillis;
-        if (elapsedMillis >= PERIOD_MILLIS) {
-            mPrevious = elapsedMillis < 2 * PERIOD_MILLIS ? mCurrent : 0;
+        if (elapsedMillis >= mPeriodMillis) {
+            mPrevious = elapsedMillis < 2 * mPeriodMillis ? mCurrent : 0;
             mCurrent = 0;
             mPeriodStartMillis = nowMillis;
         }
--- a/src/main/java/org/vanilladoor/leader/RolePlanner.java
+++ b/src/main/java/org/vanilladoor/leader/RolePlanner.java
@@ -81,13 +81,21 @@
     private static final long CLEAR_ROLE_CHANGES = 2;
 
     private static final double MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * Time for which engines were needed lately. An engine that changes its role and has to change
+     * back is away for two changes and the age of the reports, about one to two of these periods; a
+     * load that returned within it made the change useless.
+     */
+    private static final long RECENT_MILLIS = 6_000;
+
     private final PrefillDemand mPrefillDemand = PrefillDemand.create();
     private final Map<String, Long> mChangedMillis = new HashMap<>();
     private long mDecodeNeededMillis = Long.MIN_VALUE / 2;
     private long mPrefillEnoughMillis = Long.MIN_VALUE / 2;
     private RoleDemand mDemand = RoleDemand.NONE;
     private long mStarvingRoleMillis = MINIMUM_ROLE_MILLIS;
-    private final RecentPeak mRecentSlots = RecentPeak.create();
+    private final RecentPeak mRecentSlots = RecentPeak.create(RECENT_MILLIS);
     private double mPeakRunning;
     private long mPeakMillis;
 
--- a/src/main/java/org/vanilladoor/leader/ScalingPlanner.java
+++ b/src/main/java/org/vanilladoor/leader/ScalingPlanner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.TreeMap;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.route.ServiceDefinition;
@@ -18,9 +19,12 @@
  * domains, because all those of one domain may be reclaimed at once. The non-reclaimable endpoints
  * then stay at the operator's minimum; surplus ones leave once reclaimable endpoints fill the room
  * beside them, or make room for those in a full domain. If reclaimable endpoints are not cheap, the
- * fleet grows less. Invariant: the orders for a failure domain never ask for less than the minimum
- * or more than the maximum of endpoints of both kinds together. Time and measurements are passed in
- * as arguments, and the orders are returned. Confined to the control thread.
+ * fleet grows less. Spare ones are not kept beyond what the work needs with room for bursts and the
+ * loss of a domain's reclaimable endpoints, while that is known and callers lack nothing ({@link
+ * FleetDemand}); the size then stays at least the initial one. Invariant: the orders for a failure
+ * domain never ask for less than the minimum or more than the maximum of endpoints of both kinds
+ * together. Time and measurements are passed in as arguments, and the orders are returned. Confined
+ * to the control thread.
  */
 public final class ScalingPlanner {
     /** Highest relative price of reclaimable endpoints at which spare ones are worth their cost. */
@@ -51,6 +55,9 @@
     /** Largest fleet size as a multiple of the initial size. */
     private static final double MAXIMUM_SIZE_FACTOR = 3.0;
 
+    /** Smallest part of the size by which it falls; the peaks of two periods differ by chance. */
+    private static final double SMALLEST_FALL = 0.125;
+
     /** Longest time from the end of an endpoint's start to its registration, in milliseconds. */
     private static final long REGISTRATION_MILLIS = 3_000;
 
@@ -68,9 +75,12 @@
 
     private final Map<String, Long> mUnavailableUntilMillis = new HashMap<>();
     private final Map<EndpointKind, AcceptedOrder> mAcceptedOrders = new HashMap<>();
+    private final FleetDemand mDemand = FleetDemand.create();
+    private int mSize;
     private ServiceLoad mPeak = ServiceLoad.NONE;
     private long mPeakMillis;
     private int mInitialSize;
+    private int mReportedInitialSize;
     private int mObservedCount;
     private long mCountObservedSinceMillis;
     private long mLastOrderMillis = Long.MIN_VALUE / 2;
@@ -99,6 +109,7 @@
         if (service.scaling().isEmpty() || service.engine().isEmpty() || endpoints.isEmpty()) {
             return List.of();
         }
+        mDemand.observe(service, endpoints, load, nowMillis);
         if (nowMillis - mLastOrderMillis < ORDER_INTERVAL_MILLIS) {
             return List.of();
         }
@@ -109,6 +120,10 @@
         }
         boolean isCheap = scaling.reclaimablePrice() <= MAXIMUM_CHEAP_PRICE;
         int size = targetSize(isCheap, limited, service.engine().get().slots());
+        if (isCheap) {
+            size = sizeByWork(size, limited, scaling.prices().size());
+        }
+        mSize = size;
         List<FleetOperations.ScaleOrder> orders =
                 isCheap
                         ? ordersWithReclaimable(service.name(), scaling, endpoints, size, nowMillis)
@@ -159,7 +174,10 @@
             // Reclaimable endpoints show that an earlier lease holder has already sized the fleet.
             boolean isSized = endpoints.stream().anyMatch(Endpoint::reclaimable);
             double factor = isSized ? MINIMUM_SIZE_FACTOR_CHEAP : 1;
-            mInitialSize = (int) Math.max(1, Math.round(present / factor));
+            mInitialSize =
+                    mReportedInitialSize > 0
+                            ? mReportedInitialSize
+                            : (int) Math.max(1, Math.round(present / factor));
         }
         return mInitialSize > 0;
     }
@@ -187,6 +205,45 @@
         return Math.min(maximumSize, Math.max(minimumSize, neededSize) + limited);
     }
 
+    /**
+     * Returns the size that the work needs, if it is known and callers lack nothing: at least the
+     * initial size, which the operators chose, and at most the size without that knowledge. The
+     * size falls only by a part that is worth an order.
+     */
+    private int sizeByWork(int sizeWithoutWork, int limited, int failureDomains) {
+        OptionalInt sizeOfWork = mDemand.size(failureDomains);
+        if (sizeOfWork.isEmpty()) {
+            return sizeWithoutWork;
+        }
+        int needed =
+                Math.min(sizeWithoutWork, Math.max(mInitialSize, sizeOfWork.getAsInt()) + limited);
+        boolean isNearlyTheSame = needed < mSize && needed > mSize * (1 - SMALLEST_FALL);
+        return isNearlyTheSame ? Math.min(mSize, sizeWithoutWork) : needed;
+    }
+
+    /**
+     * Sets the initial size that an earlier lease holder reported, or 0; not used once one is
+     * determined.
+     */
+    public void setReportedInitialSize(int size) {
+        mReportedInitialSize = size;
+    }
+
+    /** Returns the initial size; 0 until it is determined. */
+    public int initialSize() {
+        return mInitialSize;
+    }
+
+    /** Returns the size that the last decision was based on; 0 before the first. */
+    public int size() {
+        return mSize;
+    }
+
+    /** Returns the work that the last decision was based on. */
+    FleetDemand demand() {
+        return mDemand;
+    }
+
     private List<FleetOperations.ScaleOrder> ordersWithReclaimable(
             String service, Scaling scaling, List<Endpoint> endpoints, int size, long nowMillis) {
         List<String> domains = domains(scaling);
--- a/src/main/java/org/vanilladoor/leader/ScalingTask.java
+++ b/src/main/java/org/vanilladoor/leader/ScalingTask.java
@@ -65,9 +65,13 @@
         ServiceLoad load = mMembers.loadByService().getOrDefault(service.name(), ServiceLoad.NONE);
         List<Endpoint> endpoints = mDirectory.findByService(service.name());
         int limited = (int) endpoints.stream().filter(mIsLimited).count();
+        planner.setReportedInitialSize(mMembers.reportedInitialSize(service.name()));
         planner.decide(service, endpoints, limited, load, now).stream()
                 .findFirst()
                 .ifPresent(order -> send(order, planner, load, lease));
+        if (planner.initialSize() > 0) {
+            mMembers.recordInitialSize(service.name(), planner.initialSize());
+        }
     }
 
     private void send(
@@ -100,6 +104,22 @@
                                     load.reading(),
                                     "running",
                                     load.running(),
+                                    "generating",
+                                    load.generating(),
+                                    "arriving",
+                                    load.prompts().arriving(),
+                                    "waiting",
+                                    load.prompts().waiting(),
+                                    "missed",
+                                    load.prompts().missed(),
+                                    "size",
+                                    planner.size(),
+                                    "prefill_needs",
+                                    planner.demand().prefillEngines(),
+                                    "decode_needs",
+                                    planner.demand().decodeEngines(),
+                                    "short",
+                                    planner.demand().isShort(),
                                     "term",
                                     mTerm,
                                     "reason",
--- a/src/test/java/org/vanilladoor/leader/MemberViewTests.java
+++ b/src/test/java/org/vanilladoor/leader/MemberViewTests.java
@@ -167,6 +167,22 @@
         assertThat(members.obsoleteReports()).isEmpty();
     }
 
+    /** Without it, a new holder would take the size that it finds for a multiple of the first. */
+    @Test
+    void theInitialSizeOfAServiceIsKnownFromTheReportOfADeadHolder() {
+        MemberView members = MemberView.create("members/one.1");
+        MemberReport holder =
+                new MemberReport("two", "1", 1_000, Map.of(), Map.of(), Map.of("model", 12));
+        List<MemberView.ListedReport> listed =
+                List.of(
+                        listed("one", 1, 3),
+                        new MemberView.ListedReport("members/two.1", 1, holder));
+        members.replaceReports(listed, NOW);
+        listEverySecond(members, listed, 20_000);
+        assertThat(members.reportedInitialSize("model")).isEqualTo(12);
+        assertThat(members.reportedInitialSize("other")).isEqualTo(0);
+    }
+
     private static void listEverySecond(
             MemberView members, List<MemberView.ListedReport> listed, long durationMillis) {
         for (long elapsedMillis = 1_000; elapsedMillis <= durationMillis; elapsedMillis += 1_000) {
--- a/src/test/java/org/vanilladoor/leader/ScalingPlannerTests.java
+++ b/src/test/java/org/vanilladoor/leader/ScalingPlannerTests.java
@@ -160,6 +160,81 @@
                 .isEmpty();
     }
 
+    /** Twice the initial size ran idle in calm times; the room for a burst and a loss stays. */
+    @Test
+    void theSizeFollowsTheWorkWithRoomForABurstAndTheLossOfADomain() {
+        int size = sizeAfterLoad(load(60, 0, 20));
+        // 60 prompts per second keep 2 engines busy: 4 engines at a half, 2 that decode, times
+        // 1.5 for a burst and 1.5 for the loss of one of three domains.
+        assertThat(size).isEqualTo(14);
+        int prefillEnginesAfterALoss = (int) (size * 2 / 3.0 - 2);
+        assertThat(prefillEnginesAfterALoss * RoleReplay.PROMPTS_PER_ENGINE_SECOND)
+                .isAtLeast(1.5 * 60);
+    }
+
+    @Test
+    void theSizeStaysAtLeastTheInitialOne() {
+        assertThat(sizeAfterLoad(load(6, 0, 2))).isEqualTo(12);
+    }
+
+    /** The largest recorded load of long prompts, at the recorded rate of an engine. */
+    @Test
+    void theLargestRecordedLoadKeepsTheSizeOfBefore() {
+        ServiceLoad load = load(227, 0, 20);
+        assertThat(sizeAfterLoad(load)).isEqualTo(sizeAfterLoad(withoutNewFigures(load)));
+    }
+
+    private static ServiceLoad withoutNewFigures(ServiceLoad load) {
+        return new ServiceLoad(load.reading(), load.running());
+    }
+
+    @Test
+    void theSizeIsAsBeforeWhileCallersLackEngines() {
+        for (ServiceLoad load : List.of(load(60, 5, 20), load(60, 0, 4 * 64))) {
+            assertThat(sizeAfterLoad(load)).isEqualTo(sizeAfterLoad(withoutNewFigures(load)));
+            assertThat(sizeAfterLoad(load)).isAtLeast(24);
+        }
+    }
+
+    @Test
+    void aLoadFromOlderProcessesGivesTheSizeOfBefore() {
+        assertThat(sizeAfterLoad(new ServiceLoad(2, 20))).isEqualTo(24);
+    }
+
+    @Test
+    void aNewLeaseHolderKeepsTheInitialSizeThatTheLastOneReported() {
+        mPlanner.setReportedInitialSize(12);
+        decideWhenStable(cheapService(), engines(3, 11), load(60, 0, 20));
+        assertThat(mPlanner.initialSize()).isEqualTo(12);
+    }
+
+    /** Returns the size for 12 initial engines, 4 of which decode, after a minute of a load. */
+    private static int sizeAfterLoad(ServiceLoad load) {
+        ScalingPlanner planner = ScalingPlanner.create();
+        List<Endpoint> engines = new ArrayList<>(engines(4, 0));
+        for (int index = 0; index < 8; index++) {
+            engines.add(Endpoints.engine("p-" + index, "a", EngineRole.PREFILL));
+        }
+        for (long now = NOW; now < NOW + 60_000; now += 1_000) {
+            planner.decide(cheapService(), engines, 0, load, now);
+        }
+        return planner.size();
+    }
+
+    /** Returns a load of prompts of which an engine prefills 30 per second. */
+    private static ServiceLoad load(double promptsPerSecond, double missed, double running) {
+        double engines = 8;
+        double busy = promptsPerSecond / RoleReplay.PROMPTS_PER_ENGINE_SECOND / engines;
+        boolean isSaturated = busy > 0.9;
+        double prefilling = isSaturated ? 4 : busy + busy * busy / 2 / (1 - busy);
+        double waiting = isSaturated ? 30 : 0;
+        return new ServiceLoad(
+                prefilling * engines + waiting,
+                running,
+                new ServiceLoad.PromptFlow(waiting, promptsPerSecond, promptsPerSecond, missed),
+                ServiceLoad.GenerationLoad.NONE);
+    }
+
     private List<FleetOperations.ScaleOrder> decideWhenStable(
             ServiceDefinition service, List<Endpoint> engines, ServiceLoad load) {
         mPlanner.decide(service, engines, 0, load, NOW);
