--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -127,6 +127,11 @@
         };
     }
 
+    @Override
+    public boolean hasBegun() {
+        return mHasBegun || !mExecution.route().kind().isStreaming();
+    }
+
     @Override
     public long heldBytes() {
         return mContent == Content.EVENTS
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -42,12 +42,12 @@
     private final RequestLog mLog;
     private final AttemptBudget mAttemptBudget;
     private final EndpointChoice mChoice;
+    private final PrefillLoad mPrefillLoad;
     private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
     private Runnable mOnEnd = () -> {};
     private WaitQueue.QueuedRequest mQueuedRequest;
     private EndpointExchange mCall;
-    private boolean mPrefillReported;
     private boolean mSkipSeparatePrefill;
 
     private RequestExecution(
@@ -71,6 +71,7 @@
                         context.metrics());
         mChoice = EndpointChoice.create(context, request, route, mService);
         mDeadlineMillis = mProgress.deadlineMillis();
+        mPrefillLoad = PrefillLoad.create(context.load(), mService, mProgress.dueMillis(route));
     }
 
     static RequestExecution create(
@@ -102,7 +103,7 @@
             return;
         }
         boolean isSeparate = needsSeparatePrefill();
-        reportPrefill(isSeparate);
+        mPrefillLoad.setPrefilling(isSeparate);
         boolean isTurnOfOthers = mChoice.isByCost() && waitQueue().size() > 0;
         if (!isSeparate && !mChoice.isOutOfMemory(mKvCache)) {
             startRun();
@@ -131,13 +132,6 @@
         return false;
     }
 
-    private void reportPrefill(boolean isPrefilling) {
-        if (isPrefilling != mPrefillReported) {
-            mPrefillReported = isPrefilling;
-            mContext.load().adjustPrefills(mService, isPrefilling ? 1 : -1);
-        }
-    }
-
     private boolean needsSeparatePrefill() {
         long tokens = mRequest.prompt().map(PromptMetadata::promptTokens).orElse(0L);
         return mKvCache.kept().isEmpty()
@@ -166,6 +160,7 @@
                                 mProgress.arrivedMillis() + mRoute.objectiveMillis(),
                                 latestMillis,
                                 new QueuedAttempt());
+        mPrefillLoad.startWaiting();
     }
 
     private WaitQueue waitQueue() {
@@ -284,6 +279,7 @@
     }
 
     private void refuse(Refusal refusal, String reason) {
+        mPrefillLoad.recordRefusal(refusal);
         leaveQueue();
         long retryAfterMillis =
                 mChoice.retryAfterMillis(
@@ -330,7 +326,7 @@
 
     /** Accounts for the request, whose response has ended. */
     private void finish(CallerResponse.End end, String reason) {
-        reportPrefill(false);
+        mPrefillLoad.setPrefilling(false);
         leaveQueue();
         mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS);
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
@@ -344,6 +340,7 @@
         if (mQueuedRequest != null) {
             waitQueue().remove(mQueuedRequest);
             mQueuedRequest = null;
+            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
         }
     }
 
@@ -394,6 +391,7 @@
     /** Continues with the run after a separate prefill. */
     void onPrefillComplete(KvCacheReference kvCache) {
         mAttemptBudget.recordPrefillAccepted();
+        mPrefillLoad.recordPrefilled();
         mKvCache.keep(kvCache);
         proceed();
         waitQueue().advance(MonotonicClock.nowMillis());
@@ -414,8 +412,9 @@
                 return false;
             }
             mQueuedRequest = null;
+            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
             if (mCall == null && !isDone()) {
-                reportPrefill(false);
+                mPrefillLoad.setPrefilling(false);
                 if (mChoice.isByCost()) {
                     waitQueue().recordDeparture(MonotonicClock.nowMillis());
                 }
@@ -434,6 +433,7 @@
         @Override
         public void abandon(int ahead, long turnMillis) {
             mQueuedRequest = null;
+            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
             if (!isDone()) {
                 endWithFailure(
                         Refusal.OVERLOADED,
--- a/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
@@ -110,7 +110,7 @@
     private void writeReport(long now) {
         mReportWrittenMillis = now;
         mLoadMeter
-                .takeAverages(now)
+                .takeLoads(now)
                 .forEach(
                         (service, load) ->
                                 mSmoothedLoads.merge(service, load, ServiceLoad::smoothedWith));
@@ -120,7 +120,8 @@
                         mIncarnation,
                         mWallClock.nowMillis(),
                         mUsageCounter.counts(),
-                        new HashMap<>(mSmoothedLoads));
+                        new HashMap<>(mSmoothedLoads),
+                        mMembers.initialSizes());
         mReportWriter
                 .write(Json.write(report))
                 .exceptionally(
