Smooth generating requests as they rise and fall, and test what requests report

Cause: running requests were smoothed with a rise in full, those without a first event by half. A rise of both at once left half of the latter counted as generating, which the role planner remembers for a minute.

Change: generating requests are smoothed as running ones are; those without a first event are the difference. Without them the figures are as before.

--- a/src/main/java/org/vanilladoor/leader/ServiceLoad.java
+++ b/src/main/java/org/vanilladoor/leader/ServiceLoad.java
@@ -63,11 +63,17 @@
      * so that a single measurement without requests does not hide the load.
      */
     public ServiceLoad smoothedWith(ServiceLoad latest) {
+        double smoothedRunning = Math.max(latest.running, (running + latest.running) / 2);
+        double smoothedGenerating =
+                Math.max(latest.generating(), (generating() + latest.generating()) / 2);
         return new ServiceLoad(
                 Math.max(latest.reading, (reading + latest.reading) / 2),
-                Math.max(latest.running, (running + latest.running) / 2),
+                smoothedRunning,
                 prompts.smoothedWith(latest.prompts),
-                generation.smoothedWith(latest.generation));
+                new GenerationLoad(
+                        smoothedRunning - smoothedGenerating,
+                        (generation.outputTokens + latest.generation.outputTokens) / 2,
+                        (generation.generated + latest.generation.generated) / 2));
     }
 
     /**
@@ -122,16 +128,5 @@
                     outputTokens + other.outputTokens,
                     generated + other.generated);
         }
-
-        /**
-         * Waiting requests are averaged, since they are subtracted from the running ones, of which
-         * a fall counts by half.
-         */
-        private GenerationLoad smoothedWith(GenerationLoad latest) {
-            return new GenerationLoad(
-                    (awaiting + latest.awaiting) / 2,
-                    (outputTokens + latest.outputTokens) / 2,
-                    (generated + latest.generated) / 2);
-        }
     }
 }
--- a/src/test/java/org/vanilladoor/leader/ServiceLoadTests.java
+++ b/src/test/java/org/vanilladoor/leader/ServiceLoadTests.java
@@ -37,6 +37,24 @@
                 .isEqualTo(ServiceLoad.PromptFlow.NONE);
     }
 
+    /** A rise counts in full; that of the requests that wait may not come later than the others. */
+    @Test
+    void aSuddenRiseOfRequestsThatWaitForTheirCacheDoesNotCountAsGenerating() {
+        ServiceLoad before = load(20, 0);
+        ServiceLoad risen = before.smoothedWith(load(90, 70));
+        assertThat(risen.running()).isEqualTo(90);
+        assertThat(risen.generating()).isEqualTo(20);
+        assertThat(risen.smoothedWith(load(10, 0)).generating()).isEqualTo(15);
+    }
+
+    private static ServiceLoad load(double running, double awaiting) {
+        return new ServiceLoad(
+                0,
+                running,
+                ServiceLoad.PromptFlow.NONE,
+                new ServiceLoad.GenerationLoad(awaiting, 0, 0));
+    }
+
     @Test
     void aReportOfAnOlderProcessCountsAllRunningRequestsAsGenerating() {
         String older =
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -57,6 +58,7 @@
     final ConnectionPool mConnections = ConnectionPool.start(mControl, mMemory, anomaly -> {});
     final ServingState mState = ServingState.create();
     private final EndpointDirectory mDirectory = EndpointDirectory.create();
+    final SummingLoadSink mLoad = new SummingLoadSink();
     final List<String> mStartedTeams = new CopyOnWriteArrayList<>();
     final List<ScriptedEndpoint> mEndpoints = new ArrayList<>();
     FrontServer mServer;
@@ -89,7 +91,7 @@
                         new Gateway.Accounting(
                                 retryBudgets(),
                                 mStartedTeams::add,
-                                new IgnoringLoadSink(),
+                                mLoad,
                                 mMemory,
                                 GatewayMetrics.create(new MetricRegistry())),
                         new SplittableRandom(4));
@@ -297,16 +299,22 @@
         }
     }
 
-    /** Ignores all load changes. */
-    private static final class IgnoringLoadSink implements ServiceLoadSink {
+    /** Sums the load changes of all services. */
+    static final class SummingLoadSink implements ServiceLoadSink {
+        private final Map<Enum<?>, Long> mSums = new ConcurrentHashMap<>();
+
         @Override
         public void adjust(String service, Gauge gauge, long change) {
-            // Load is not checked by these tests.
+            mSums.merge(gauge, change, Long::sum);
         }
 
         @Override
         public void count(String service, Counter counter, long number) {
-            // Load is not checked by these tests.
+            mSums.merge(counter, number, Long::sum);
+        }
+
+        long sum(Enum<?> figure) {
+            return mSums.getOrDefault(figure, 0L);
         }
     }
 }
