Test that a rise of chats takes no engine that prompts need

Cause: the mutant decode-takes-prefill (decode gets what its peak asks for, whatever prompts need) survived RoleReplayTests.

Change: a replay in which chats rise to five times their number beside prompts that need four engines.

--- a/src/test/java/org/vanilladoor/leader/RoleReplayTests.java
+++ b/src/test/java/org/vanilladoor/leader/RoleReplayTests.java
@@ -101,6 +101,21 @@
         return replay.refusedMillis().stream().mapToLong(each -> each).max().orElse(0);
     }
 
+    /** Chats that rise get all engines that prompts leave, but none that prompts need. */
+    @Test
+    void aRiseOfChatsTakesNoEngineThatPromptsNeed() {
+        RoleReplay replay =
+                RoleReplay.create()
+                        .addEngines("a", EngineRole.PREFILL, 5)
+                        .addEngines("b", EngineRole.PREFILL, 5)
+                        .addEngines("b", EngineRole.DECODE, 3)
+                        .prompts(millis -> 110)
+                        .running(millis -> millis < 15_000 ? 20 : 100, millis -> 0);
+        replay.playUntil(40_000, () -> assertThat(replay.engines(EngineRole.PREFILL)).isAtLeast(4));
+        assertThat(replay.engines(EngineRole.DECODE)).isAtLeast(7);
+        assertThat(replay.refusedMillis()).isEmpty();
+    }
+
     /** Both phases need more engines than there are: each gets its share, and none is starved. */
     @Test
     void enginesAreSharedByNeedWhenThereAreTooFewForBothPhases() {
