--- a/src/test/java/org/vanilladoor/fleet/CostReplay.java
+++ b/src/test/java/org/vanilladoor/fleet/CostReplay.java
@@ -44,9 +44,9 @@
     private final Map<String, Server> mServers = new HashMap<>();
     private final List<Placement> mVms = new ArrayList<>();
     private double mNowMillis = 1_000;
-    private final Tally mLong = new Tally();
-    private final Tally mPlain = new Tally();
-    private final Tally mChats = new Tally();
+    private final CostReplayTally mLong = new CostReplayTally();
+    private final CostReplayTally mPlain = new CostReplayTally();
+    private final CostReplayTally mChats = new CostReplayTally();
 
     CostReplay(long seed, boolean statesFactor) {
         mRandom = new SplittableRandom(seed);
@@ -61,15 +61,15 @@
         }
     }
 
-    Tally longPrompts() {
+    CostReplayTally longPrompts() {
         return mLong;
     }
 
-    Tally plainRequests() {
+    CostReplayTally plainRequests() {
         return mPlain;
     }
 
-    Tally chats() {
+    CostReplayTally chats() {
         return mChats;
     }
 
@@ -95,7 +95,7 @@
 
     /** Returns the part of the long prompts that prefill engines read. */
     double separatePart() {
-        return sumOfReaders(server -> server.mPrompts) / mLong.mMillis.size();
+        return sumOfReaders(server -> server.mPrompts) / mLong.served();
     }
 
     private double sumOfReaders(ToDoubleFunction<Server> figure) {
@@ -180,9 +180,7 @@
                 endpoint,
                 WorkPhase.RUN,
                 Optional.empty(),
-                0,
-                work,
-                0,
+                new Work(0, work, 0),
                 () -> mPlain.add(mNowMillis - started, 147));
     }
 
@@ -201,9 +199,7 @@
                                         endpoint,
                                         WorkPhase.RUN,
                                         Optional.empty(),
-                                        220,
-                                        72 * STEP_MILLIS,
-                                        72,
+                                        new Work(220, 72 * STEP_MILLIS, 72),
                                         () -> mChats.add(mNowMillis - started, 606)),
                         mChats::addRefused);
     }
@@ -246,9 +242,7 @@
                 engine.get(),
                 WorkPhase.PREFILL,
                 Optional.empty(),
-                request.promptTokens(),
-                0,
-                0,
+                new Work(request.promptTokens(), 0, 0),
                 () -> runLong(vm, request, started, Optional.of(engine.get().failureDomain())));
     }
 
@@ -267,9 +261,9 @@
                 engine.get(),
                 phase,
                 cacheDomain,
-                hasCache ? 0 : request.promptTokens(),
-                hasCache ? request.promptTokens() / FETCH_TOKENS_PER_MILLI : 0,
-                2,
+                hasCache
+                        ? new Work(0, request.promptTokens() / FETCH_TOKENS_PER_MILLI, 2)
+                        : new Work(request.promptTokens(), 0, 2),
                 () -> mLong.add(mNowMillis - started, OBJECTIVE_MILLIS));
     }
 
@@ -279,9 +273,7 @@
             Endpoint endpoint,
             WorkPhase phase,
             Optional<String> cacheDomain,
-            long promptTokens,
-            double slotMillis,
-            int events,
+            Work work,
             Runnable onEnd) {
         CallCost cost = vm.openCall(request, endpoint, phase, cacheDomain, now());
         vm.recordStart(endpoint);
@@ -289,12 +281,12 @@
         Job job =
                 new Job(
                         request,
-                        promptTokens,
-                        slotMillis,
+                        work.promptTokens(),
+                        work.slotMillis(),
                         () -> {
                             vm.recordLoad(endpoint, server.load(), now());
-                            if (events > 0) {
-                                cost.recordEvents(events, now());
+                            if (work.events() > 0) {
+                                cost.recordEvents(work.events(), now());
                             }
                             cost.recordResponse(now());
                             cost.end();
@@ -401,30 +393,8 @@
         }
     }
 
-    /** Times of one class of requests. */
-    static final class Tally {
-        private final List<Double> mMillis = new ArrayList<>();
-        private int mOnTime;
-        private int mRefused;
-
-        private void add(double millis, double objectiveMillis) {
-            mMillis.add(millis);
-            mOnTime += millis <= objectiveMillis ? 1 : 0;
-        }
-
-        private void addRefused() {
-            mRefused++;
-        }
-
-        double onTimePart() {
-            return mOnTime / (double) Math.max(1, mMillis.size() + mRefused);
-        }
-
-        double quantile(double part) {
-            double[] sorted = mMillis.stream().mapToDouble(each -> each).sorted().toArray();
-            return sorted[(int) (sorted.length * part)];
-        }
-    }
+    /** The work of a call, and the events of its response. */
+    private record Work(long promptTokens, double slotMillis, int events) {}
 
     /** Something that happens at a time. */
     private record Event(double millis, Runnable action) {}
