--- a/src/test/java/org/vanilladoor/PackageRulesTests.java
+++ b/src/test/java/org/vanilladoor/PackageRulesTests.java
@@ -56,7 +56,12 @@
     static final ArchRule SERVING_DECISION_PACKAGES_DO_NOT_USE_SOCKETS =
             noClasses()
                     .that()
-                    .resideInAnyPackage("..route..", "..fleet..", "..leader..", "..quarantine..")
+                    .resideInAnyPackage(
+                            "..route..",
+                            "..fleet..",
+                            "..leader..",
+                            "..quarantine..",
+                            "..allowance..")
                     .should()
                     .dependOnClassesThat()
                     .resideInAnyPackage("..transport..", "org.apache.hc..", "java.net..");
