Decode allowances of teams, their tolerance and the exchange's ports

Change: AllowanceDecoder reads rate_per_s, burst, unit and plain_tokens; an unreadable figure is logged with its place and leaves the allowance in force.

--- a/src/main/java/org/vanilladoor/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/vanilladoor/platform/ConfigurationDecoder.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.vanilladoor.allowance.Allowance;
 import org.vanilladoor.route.AuthorizedTeam;
 import org.vanilladoor.route.RequestSizeLimits;
 import org.vanilladoor.route.Route;
@@ -37,14 +38,20 @@
      * Decodes a configuration.
      *
      * @param content the configuration object's {@code spec}
+     * @param inForce the configuration whose allowances are kept in place of unreadable ones
      * @throws IllegalArgumentException if the configuration has no version
      */
-    static ServingConfiguration decode(JsonNode content) {
+    static ServingConfiguration decode(JsonNode content, Optional<ServingConfiguration> inForce) {
         if (!content.path("version").canConvertToLong()) {
             throw new IllegalArgumentException("configuration has no numeric version");
         }
         Map<String, AuthorizedTeam> teamsByKey = new HashMap<>();
-        content.path("tenants").forEach(tenant -> addTeam(tenant, teamsByKey));
+        AllowanceDecoder allowances = AllowanceDecoder.of(content, inForce);
+        int index = 0;
+        for (JsonNode tenant : content.path("tenants")) {
+            addTeam(tenant, allowances.decode(tenant, index), teamsByKey);
+            index++;
+        }
         List<Route> routes = new ArrayList<>();
         content.path("routes").forEach(route -> addRoute(route, routes));
         List<ServiceDefinition> services = new ArrayList<>();
@@ -61,12 +68,16 @@
                 content.path("tenants").size() > 0);
     }
 
-    private static void addTeam(JsonNode tenant, Map<String, AuthorizedTeam> teamsByKey) {
+    private static void addTeam(
+            JsonNode tenant,
+            Optional<Allowance> allowance,
+            Map<String, AuthorizedTeam> teamsByKey) {
         JsonNode rank = tenant.path("priority");
         AuthorizedTeam team =
                 new AuthorizedTeam(
                         tenant.path("name").asText(),
-                        rank.isNumber() ? OptionalInt.of(rank.asInt()) : OptionalInt.empty());
+                        rank.isNumber() ? OptionalInt.of(rank.asInt()) : OptionalInt.empty(),
+                        allowance);
         tenant.path("api_keys").forEach(key -> teamsByKey.put(key.asText(), team));
     }
 
--- a/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
+++ b/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
@@ -41,7 +41,8 @@
             return;
         }
         try {
-            ServingConfiguration configuration = ConfigurationDecoder.decode(object.path("spec"));
+            ServingConfiguration configuration =
+                    ConfigurationDecoder.decode(object.path("spec"), mState.configuration());
             boolean isNewer = mState.applyIfNewer(configuration);
             mLatestDecodable = true;
             EventLog.write(
--- a/src/main/java/org/vanilladoor/platform/PlatformSettings.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformSettings.java
@@ -1,7 +1,9 @@
 package org.vanilladoor.platform;
 
 import java.util.Optional;
+import org.vanilladoor.allowance.AllowanceTolerance;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.PortRange;
 import org.vanilladoor.settings.TomlSection;
 
 /**
@@ -24,6 +26,8 @@
  * @param drainNoticeMillis time in which a leaving endpoint has to be noticed
  * @param leaseTurnMillis shortest time in which two VMs may act for the fleet by turns
  * @param graceMillis time from the signal to stop until the platform kills the process
+ * @param allowanceTolerance by how much the cost of a team's requests may exceed its allowance
+ * @param exchangePorts ports on which the process may listen for the other VMs
  */
 public record PlatformSettings(
         String vmName,
@@ -38,7 +42,9 @@
         long usageWindowMillis,
         long drainNoticeMillis,
         long leaseTurnMillis,
-        long graceMillis) {
+        long graceMillis,
+        AllowanceTolerance allowanceTolerance,
+        PortRange exchangePorts) {
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final int MAXIMUM_VALUE = 1_000_000_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -85,12 +91,24 @@
                         (long)
                                 bounds.number(
                                         "lease_ms", 0, MAXIMUM_VALUE, DEFAULT_LEASE_TURN_MILLIS),
-                        toMillis(
-                                bounds.number("grace_s", 0, MAXIMUM_VALUE, DEFAULT_GRACE_SECONDS)));
+                        toMillis(bounds.number("grace_s", 0, MAXIMUM_VALUE, DEFAULT_GRACE_SECONDS)),
+                        allowanceTolerance(bounds),
+                        root.portRange("port_range")
+                                .or(() -> listen.portRange("port_range"))
+                                .orElse(PortRange.ANY));
         root.throwIfInvalidIgnoringUnknownKeys();
         return settings;
     }
 
+    private static AllowanceTolerance allowanceTolerance(TomlSection bounds) {
+        AllowanceTolerance standard = AllowanceTolerance.standard();
+        long windowMillis = toMillis(bounds.number("quota_window_s", 0, MAXIMUM_VALUE, 0));
+        return new AllowanceTolerance(
+                windowMillis > 0 ? windowMillis : standard.windowMillis(),
+                bounds.number("quota_excess", 0, MAXIMUM_VALUE, standard.excess()),
+                bounds.number("quota_slack", 0, MAXIMUM_VALUE, standard.slack()));
+    }
+
     private static long toMillis(double seconds) {
         return Math.round(seconds * MILLIS_PER_SECOND);
     }
--- a/src/main/java/org/vanilladoor/route/ServingConfiguration.java
+++ b/src/main/java/org/vanilladoor/route/ServingConfiguration.java
@@ -1,11 +1,13 @@
 package org.vanilladoor.route;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.vanilladoor.allowance.Allowance;
 
 /**
  * One version of the operator's serving configuration.
@@ -21,6 +23,7 @@
     private final Map<String, ServiceDefinition> mServices;
     private final RequestSizeLimits mLimits;
     private final Map<String, AuthorizedTeam> mTeamsByKey;
+    private final Map<String, Allowance> mAllowances;
     private final boolean mHasTeams;
 
     private ServingConfiguration(
@@ -35,6 +38,7 @@
         mServices = services;
         mLimits = limits;
         mTeamsByKey = teamsByKey;
+        mAllowances = allowancesOf(teamsByKey.values());
         mHasTeams = hasTeams;
     }
 
@@ -68,6 +72,16 @@
                 version, routesByHost, servicesByName, limits, Map.copyOf(teamsByKey), hasTeams);
     }
 
+    /** Of several entries with the same team, which the format does not exclude, any one counts. */
+    private static Map<String, Allowance> allowancesOf(Collection<AuthorizedTeam> teams) {
+        Map<String, Allowance> allowances = new HashMap<>();
+        teams.forEach(
+                team ->
+                        team.allowance()
+                                .ifPresent(allowance -> allowances.put(team.name(), allowance)));
+        return Map.copyOf(allowances);
+    }
+
     /** Returns the version number. */
     public long version() {
         return mVersion;
@@ -106,4 +120,9 @@
     public Optional<AuthorizedTeam> team(String key) {
         return Optional.ofNullable(mTeamsByKey.get(key));
     }
+
+    /** Returns the allowances of the teams that have one, by the name of the team. */
+    public Map<String, Allowance> allowances() {
+        return mAllowances;
+    }
 }
--- a/src/main/java/org/vanilladoor/settings/TomlSection.java
+++ b/src/main/java/org/vanilladoor/settings/TomlSection.java
@@ -14,6 +14,7 @@
 import org.vanilladoor.common.Finding;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.InvalidInputException;
+import org.vanilladoor.common.PortRange;
 
 /**
  * A table of a TOML file, whose accessors validate values and collect the errors found.
@@ -205,6 +206,19 @@
                 .toList();
     }
 
+    /**
+     * Returns a range of ports, given as {@code [first, last]} or {@code "first-last"}; empty if
+     * the key is absent or its value is not such a range, which is not reported as an error.
+     */
+    public Optional<PortRange> portRange(String key) {
+        mRequestedKeys.add(key);
+        Object value = mTable.get(List.of(key));
+        if (value instanceof TomlArray array && array.size() == 2) {
+            return PortRange.parse(array.get(0) + "-" + array.get(1));
+        }
+        return value instanceof String text ? PortRange.parse(text) : Optional.empty();
+    }
+
     /**
      * Returns the enum constant with the given name, ignoring case, or the default if the key is
      * absent.
--- a/src/test/java/org/vanilladoor/platform/DecoderTests.java
+++ b/src/test/java/org/vanilladoor/platform/DecoderTests.java
@@ -40,7 +40,8 @@
 
     @Test
     void aConfigurationIsDecodedAndAnInvalidRouteIsSkipped() {
-        ServingConfiguration configuration = ConfigurationDecoder.decode(json(CONFIGURATION));
+        ServingConfiguration configuration =
+                ConfigurationDecoder.decode(json(CONFIGURATION), Optional.empty());
         assertThat(configuration.version()).isEqualTo(7);
         Route route = configuration.route("h", "/a/c").orElseThrow();
         assertThat(route.kind()).isEqualTo(RouteKind.STREAM);
@@ -58,7 +59,9 @@
 
     @Test
     void aConfigurationWithoutVersionIsRejected() {
-        assertThrows(IllegalArgumentException.class, () -> ConfigurationDecoder.decode(json("{}")));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> ConfigurationDecoder.decode(json("{}"), Optional.empty()));
     }
 
     @Test
