Publish the address of the lease holder in the roster

Cause: the other VMs have to find the holder to ask it for advances.

Change: Roster has the optional field `exchange`, left out while the holder does not listen, so that the object is unchanged for deployments without allowances. Candidates for the lease, which don't read the roster otherwise, can read the address on request. A holder that has an address writes the roster again at once after its first write, which only finds the object's version.

--- a/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
+++ b/src/main/java/org/vanilladoor/leader/MemberReportExchange.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.gateway.ServingState;
@@ -61,6 +62,9 @@
     private long mRosterWrittenMillis;
     private long mHeartbeat;
     private boolean mReadInProgress;
+    private Optional<HostPort> mOwnExchange = Optional.empty();
+    private Optional<HostPort> mHolderExchange = Optional.empty();
+    private boolean mExchangeReadInProgress;
 
     MemberReportExchange(
             ObjectStore store,
@@ -107,6 +111,39 @@
         mState.setVmCount(mMembers.liveProcesses());
     }
 
+    /** Sets the address that the roster states while this process holds the lease. */
+    void publishExchange(Optional<HostPort> address) {
+        if (!address.equals(mOwnExchange)) {
+            mOwnExchange = address;
+            mRosterWrittenMillis = 0;
+        }
+    }
+
+    /** Returns the address at which the lease holder listens, as the last roster read states it. */
+    Optional<HostPort> holderExchange() {
+        return mHolderExchange;
+    }
+
+    /**
+     * Reads the holder's address from the roster, which candidates for the lease don't read
+     * otherwise.
+     */
+    void readHolderExchange() {
+        if (mExchangeReadInProgress) {
+            return;
+        }
+        mExchangeReadInProgress = true;
+        mLister.listKind(ROSTER_OBJECT, true)
+                .whenComplete(
+                        (found, failure) -> {
+                            mExchangeReadInProgress = false;
+                            if (failure == null) {
+                                mHolderExchange =
+                                        decodeRoster(found).flatMap(Roster::exchangeAddress);
+                            }
+                        });
+    }
+
     private void writeReport(long now) {
         mReportWrittenMillis = now;
         mLoadMeter
@@ -166,8 +203,9 @@
                         (found, failure) -> {
                             mReadInProgress = false;
                             if (failure == null) {
-                                mMembers.followRoster(
-                                        decodeRoster(found), MonotonicClock.nowMillis());
+                                Optional<Roster> roster = decodeRoster(found);
+                                mHolderExchange = roster.flatMap(Roster::exchangeAddress);
+                                mMembers.followRoster(roster, MonotonicClock.nowMillis());
                             }
                         });
     }
@@ -194,14 +232,22 @@
         // previous one.
         mHeartbeat = Math.max(mHeartbeat + 1, mWallClock.nowMillis());
         mRosterWriter
-                .write(Json.write(mMembers.roster(mHeartbeat)))
+                .write(Json.write(mMembers.roster(mHeartbeat).withExchange(mOwnExchange)))
                 .exceptionally(
                         failure -> {
                             logWriteFailure("roster.unwritten", unwrap(failure));
+                            retryFirstWrite(unwrap(failure));
                             return null;
                         });
     }
 
+    /** The other VMs have no advances until they know where a new holder listens. */
+    private void retryFirstWrite(Throwable cause) {
+        if (mOwnExchange.isPresent() && cause instanceof VersionConflictException) {
+            mRosterWrittenMillis = 0;
+        }
+    }
+
     private void listReports(boolean isHolder) {
         mLister.listKind(mReportObject, !isHolder)
                 .whenComplete(
--- a/src/main/java/org/vanilladoor/leader/MemberView.java
+++ b/src/main/java/org/vanilladoor/leader/MemberView.java
@@ -155,6 +155,11 @@
         return mEverListed ? Math.max(1, liveReportNames().size()) : ASSUMED_PROCESSES;
     }
 
+    /** Returns whether {@link #liveProcesses} is a number that was counted. */
+    public boolean isCounted() {
+        return mFollowsRoster ? mRoster.isPresent() : mEverListed;
+    }
+
     /**
      * Returns the interval between the reports of a process, in milliseconds.
      *
