Admit requests within the allowances of their teams

Change: package exchange. HolderServer answers heartbeats under the fleet lease, HolderLink sends them, AllowanceExchange joins them with the account and lets requests wait (AdmissionQueue). The gateway asks AllowanceControl before a request counts as a first attempt; refusal OVER_ALLOWANCE is 429 with a Retry-After. A request that ends without any work of an endpoint gives its cost back; a delivered prefill counts as work. Counters by team carry a label on the metrics page. Without an allowance in the configuration nothing listens, connects or calls the store.

The whole path has not run in processes yet.

--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -195,6 +195,7 @@
             mExecution.retryElsewhere(
                     endpoint, "the endpoint rejected the call with status " + mResponse.status());
         } else if (mStage == EndpointCall.Stage.READ_PROMPT) {
+            mExecution.progress().markPossiblyPrefilled();
             onPrefillComplete(endpoint);
         } else {
             mExecution.progress().markPossiblyRun();
@@ -312,6 +313,7 @@
             mContext.placement().recordUnreachable(endpoint, nowMillis);
         }
         if (mStage == EndpointCall.Stage.READ_PROMPT) {
+            mExecution.progress().markPossiblyPrefilled();
             mExecution.retryElsewhere(endpoint, failure.reason());
         } else {
             mExecution.progress().markPossiblyRun();
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -62,7 +62,7 @@
      * @param state configuration in force and shutdown state
      * @param placement selects the endpoint of each call
      * @param promptGuard keeps prompts that crash engines away from them
-     * @param accounting retry budgets, usage, load, memory and metrics
+     * @param accounting retry budgets, allowances, usage, load, memory and metrics
      * @param random source for the weighted choice of a service
      */
     public static Gateway start(
@@ -84,6 +84,7 @@
                         state,
                         placement,
                         accounting.retryBudgets(),
+                        accounting.allowances(),
                         promptGuard,
                         WaitQueues.create(),
                         accounting.usage(),
@@ -175,7 +176,7 @@
             }
         }
         RequestExecution execution =
-                RequestExecution.create(mContext, exchange, request, route.get(), team);
+                new RequestExecution(mContext, exchange, request, route.get(), team);
         mOpenRequests.add(execution);
         execution.start(() -> mOpenRequests.remove(execution));
     }
@@ -213,6 +214,7 @@
      * The components that account for a gateway's requests.
      *
      * @param retryBudgets limits retries
+     * @param allowances keeps teams within their allowances
      * @param usage counts the requests that started to run
      * @param load receives changes of the number of prefills and running requests
      * @param memory the memory that responses take while they are incomplete
@@ -220,6 +222,7 @@
      */
     public record Accounting(
             LocalRetryBudgets retryBudgets,
+            AllowanceControl allowances,
             UsageSink usage,
             ServiceLoadSink load,
             MemoryBudget memory,
--- a/src/main/java/org/vanilladoor/gateway/GatewayContext.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayContext.java
@@ -21,6 +21,7 @@
  * @param state configuration in force and shutdown state
  * @param placement selects the endpoint of each call
  * @param retryBudgets limits retries
+ * @param allowances keeps teams within their allowances
  * @param promptGuard keeps prompts that crash engines away from them
  * @param waitQueues requests that wait for an engine, by service
  * @param usage counts the requests that started to run
@@ -37,6 +38,7 @@
         ServingState state,
         Placement placement,
         LocalRetryBudgets retryBudgets,
+        AllowanceControl allowances,
         PromptGuard promptGuard,
         WaitQueues waitQueues,
         UsageSink usage,
--- a/src/main/java/org/vanilladoor/gateway/GatewayMetrics.java
+++ b/src/main/java/org/vanilladoor/gateway/GatewayMetrics.java
@@ -30,6 +30,12 @@
         mRegistry.counter(name).inc();
     }
 
+    /** Adds to the counter with the given name for one team, which is shown as a label. */
+    public void addForTeam(String name, String team, long amount) {
+        String label = team.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n");
+        mRegistry.counter(name + "{team=\"" + label + "\"}").inc(amount);
+    }
+
     /** Counts a request that the gateway refused. */
     public void countRefusal(Refusal refusal) {
         count("requests.refused." + refusal.name().toLowerCase(Locale.ROOT));
--- a/src/main/java/org/vanilladoor/gateway/PromptMetadata.java
+++ b/src/main/java/org/vanilladoor/gateway/PromptMetadata.java
@@ -37,6 +37,12 @@
                 .toList();
     }
 
+    /** Returns the tokens of the prompt and of the longest output together; never negative. */
+    public long totalTokens() {
+        long sum = Math.max(0, promptTokens) + Math.max(0, maximumOutputTokens);
+        return sum < 0 ? Long.MAX_VALUE : sum;
+    }
+
     /** Returns the length in tokens of the prefix that other requests share. */
     public long sharedPrefixTokens() {
         return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToLong(Part::tokens).sum();
--- a/src/main/java/org/vanilladoor/gateway/Refusal.java
+++ b/src/main/java/org/vanilladoor/gateway/Refusal.java
@@ -17,6 +17,8 @@
     UNKNOWN_KEY(HttpStatus.SC_UNAUTHORIZED, false),
     /** No route matches. */
     UNKNOWN_ROUTE(HttpStatus.SC_NOT_FOUND, false),
+    /** The request exceeds what its team may use at present. */
+    OVER_ALLOWANCE(HttpStatus.SC_TOO_MANY_REQUESTS, true),
     /** No configuration was received, or it was not confirmed recently enough as the newest. */
     NOT_CONFIRMED(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** The process is stopping. */
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -42,6 +42,7 @@
     private final long mDeadlineMillis;
     private final RequestLog mLog;
     private final AttemptBudget mAttemptBudget;
+    private final RequestAdmission mAdmission;
     private final Set<String> mExcludedEndpoints = new HashSet<>();
     private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
@@ -51,7 +52,7 @@
     private boolean mPrefillReported;
     private boolean mSkipSeparatePrefill;
 
-    private RequestExecution(
+    RequestExecution(
             GatewayContext context,
             FrontExchange exchange,
             CallerRequest request,
@@ -70,32 +71,29 @@
                         context.retryBudgets().forService(mService),
                         context.state()::vmCount,
                         context.metrics());
+        mAdmission = RequestAdmission.of(context.allowances(), request, team);
         mDeadlineMillis = mProgress.deadlineMillis();
     }
 
-    static RequestExecution create(
-            GatewayContext context,
-            FrontExchange exchange,
-            CallerRequest request,
-            Route route,
-            Optional<AuthorizedTeam> team) {
-        return new RequestExecution(context, exchange, request, route, team);
-    }
-
-    /**
-     * Starts the execution.
-     *
-     * @param onEnd runs once the request has its response or the caller has disconnected
-     */
+    /** Starts; the action runs once the request has its response or the caller has disconnected. */
     void start(Runnable onEnd) {
         mOnEnd = onEnd;
         long nowMillis = MonotonicClock.nowMillis();
-        mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
         mResponse.onDisconnect(this::onCallerDisconnected);
         mResponse.limitTime(Math.max(0, mDeadlineMillis - nowMillis), this::onTimeout);
+        mAdmission.start(this::beginFirstAttempt, this::refuseOverAllowance);
+    }
+
+    private void beginFirstAttempt() {
+        long nowMillis = MonotonicClock.nowMillis();
+        mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
         proceed();
     }
 
+    private void refuseOverAllowance(long millisUntilRoom, String reason) {
+        finish(mResponse.refuse(Refusal.OVER_ALLOWANCE, millisUntilRoom), reason);
+    }
+
     /** Starts the next step: separate prefill, waiting for a prefill engine, or the run. */
     private void proceed() {
         if (isDone() || endIfNotSendable()) {
@@ -191,7 +189,7 @@
 
     private void onPrefillTimeout(EndpointExchange call) {
         if (!isDone() && mCall == call) {
-            call.abandon();
+            abandonCall();
             mContext.placement().recordUnreachable(call.endpoint(), MonotonicClock.nowMillis());
             retryElsewhere(call.endpoint(), "the prefill timed out");
         }
@@ -327,8 +325,8 @@
         if (mCall != null) {
             // Abandoning comes first: only then is it final whether the call has been sent.
             mCall.abandon();
-            if (mCall.stage() == EndpointCall.Stage.RUN && mCall.isSent()) {
-                mProgress.markPossiblyRun();
+            if (mCall.isSent()) {
+                mProgress.markPossiblyDone(mCall.stage());
             }
             mCall = null;
         }
@@ -347,6 +345,7 @@
     private void finish(CallerResponse.End end, String reason) {
         reportPrefill(false);
         leaveQueue();
+        mAdmission.end(mProgress.mayHaveWorked());
         mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS);
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
         mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), tookMillis);
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -14,6 +14,7 @@
     private final long mDeadlineMillis;
     private int mPossibleRuns;
     private boolean mMayHaveRun;
+    private boolean mMayHavePrefilled;
 
     private RequestProgress(EventAssembler events, long timeoutMillis) {
         mEvents = events;
@@ -51,6 +52,25 @@
         mMayHaveRun = true;
     }
 
+    /** Records that an endpoint may have done the work of a call. */
+    void markPossiblyDone(EndpointCall.Stage stage) {
+        if (stage == EndpointCall.Stage.RUN) {
+            markPossiblyRun();
+        } else {
+            markPossiblyPrefilled();
+        }
+    }
+
+    /** Records that an engine may have prefilled the prompt. */
+    void markPossiblyPrefilled() {
+        mMayHavePrefilled = true;
+    }
+
+    /** Returns whether an endpoint may have done any work for the request. */
+    boolean mayHaveWorked() {
+        return mMayHaveRun || mMayHavePrefilled;
+    }
+
     /** Returns the number of runs that count against the route's limit of attempts. */
     int possibleRuns() {
         return mPossibleRuns;
--- a/src/main/java/org/vanilladoor/leader/LeaderTasks.java
+++ b/src/main/java/org/vanilladoor/leader/LeaderTasks.java
@@ -1,10 +1,13 @@
 package org.vanilladoor.leader;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Predicate;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
+import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.exchange.FleetView;
 import org.vanilladoor.fleet.Endpoint;
 import org.vanilladoor.fleet.EndpointDirectory;
 import org.vanilladoor.fleet.EndpointPollInterval;
@@ -24,7 +27,7 @@
  * <p>Every process reports its counts; a few are candidates for the lease. Invariant: a process
  * acts for the fleet only if it holds the lease at that moment. Confined to the control thread.
  */
-public final class LeaderTasks implements UsageSink, ServiceLoadSink {
+public final class LeaderTasks implements UsageSink, ServiceLoadSink, FleetView {
     private static final Duration TICK_INTERVAL = Duration.ofMillis(200);
     private static final String LEASE_OBJECT = "lease/fleet";
     private static final String REPORT_PREFIX = "members/";
@@ -108,11 +111,36 @@
         return new LeaderTasks(control, dependencies, vmName, windowMillis, leaseTiming);
     }
 
-    /** Returns whether this process acts for the whole fleet at this moment. */
+    @Override
     public boolean isHolder() {
         return mLease.isHeld();
     }
 
+    @Override
+    public long term() {
+        return mLease.term();
+    }
+
+    @Override
+    public int countedProcesses() {
+        return mMembers.isCounted() ? mMembers.liveProcesses() : 0;
+    }
+
+    @Override
+    public void publishExchange(Optional<HostPort> address) {
+        mExchange.publishExchange(address);
+    }
+
+    @Override
+    public Optional<HostPort> holderExchange() {
+        return mExchange.holderExchange();
+    }
+
+    @Override
+    public void readHolderExchange() {
+        mExchange.readHolderExchange();
+    }
+
     @Override
     public void countStartedRequest(String team) {
         mUsageCounter.countRequest(team, mWallClock.nowMillis());
--- a/src/main/java/org/vanilladoor/platform/MetricsPage.java
+++ b/src/main/java/org/vanilladoor/platform/MetricsPage.java
@@ -71,8 +71,7 @@
                     mMemory.rejections(use));
         }
         for (Map.Entry<String, Counter> counter : mRegistry.getCounters().entrySet()) {
-            appendLine(
-                    page, metricName(counter.getKey()) + "_total", counter.getValue().getCount());
+            appendLine(page, counterName(counter.getKey()), counter.getValue().getCount());
         }
         for (Map.Entry<String, Histogram> histogram : mRegistry.getHistograms().entrySet()) {
             String name = metricName(histogram.getKey());
@@ -85,6 +84,15 @@
         return page.toString();
     }
 
+    /** Labels, which follow the name in braces, are kept as they are. */
+    private static String counterName(String registeredName) {
+        int brace = registeredName.indexOf('{');
+        int end = brace < 0 ? registeredName.length() : brace;
+        return metricName(registeredName.substring(0, end))
+                + "_total"
+                + registeredName.substring(end);
+    }
+
     private static String metricName(String registeredName) {
         return registeredName.toLowerCase(Locale.ROOT).replace('.', '_');
     }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -13,6 +13,8 @@
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
+import org.vanilladoor.exchange.AllowanceExchange;
+import org.vanilladoor.exchange.ListenAddress;
 import org.vanilladoor.fleet.EndpointDirectory;
 import org.vanilladoor.fleet.EndpointPollInterval;
 import org.vanilladoor.fleet.Placement;
@@ -88,6 +90,7 @@
     private final MetricsPage mMetricsPage;
     private final FrontServer mCallerServer;
     private final GatewayMetrics mMetrics;
+    private final AllowanceExchange mAllowances;
 
     /** Time at which {@link #maintain} is due; for the control thread only. */
     private long mNextMaintenanceMillis = Long.MAX_VALUE / 2;
@@ -96,10 +99,9 @@
         mSettings = settings;
         mControl = ControlLoop.start("control");
         MetricRegistry registry = new MetricRegistry();
-        GatewayMetrics metrics = GatewayMetrics.create(registry);
-        mMetrics = metrics;
+        mMetrics = GatewayMetrics.create(registry);
         mMemory = MemoryBudget.ofHeap();
-        mConnections = ConnectionPool.start(mControl, mMemory, metrics::countAnomaly);
+        mConnections = ConnectionPool.start(mControl, mMemory, mMetrics::countAnomaly);
         mState = ServingState.create();
         RandomGenerator random = new SplittableRandom();
         EndpointDirectory directory = EndpointDirectory.create();
@@ -110,8 +112,8 @@
         EndpointPollInterval pollInterval =
                 EndpointPollInterval.create(settings.drainNoticeMillis(), mState::vmCount);
         LeaderTasks leaderTasks =
-                LeaderTasks.start(
-                        mControl,
+                startLeaderTasks(
+                        settings,
                         new LeaderTasks.Dependencies(
                                 store,
                                 store,
@@ -119,11 +121,9 @@
                                 directory,
                                 mState,
                                 pollInterval,
-                                limits::isLimited),
-                        settings.vmName(),
-                        settings.usageWindowMillis(),
-                        LeaseTiming.standard().withMinimumTurn(settings.leaseTurnMillis()));
+                                limits::isLimited));
         String incarnation = incarnationOf(settings.vmName());
+        mAllowances = startAllowances(settings, store, leaderTasks, incarnation);
         PromptQuarantine quarantine = PromptQuarantine.create();
         EndpointNews news =
                 EndpointNews.create(store, settings.vmName(), incarnation, quarantine, limits);
@@ -140,7 +140,12 @@
                                 leaderTasks::isHolder,
                                 incarnation),
                         new Gateway.Accounting(
-                                retryBudgets(settings), leaderTasks, leaderTasks, mMemory, metrics),
+                                retryBudgets(settings),
+                                mAllowances,
+                                leaderTasks,
+                                leaderTasks,
+                                mMemory,
+                                mMetrics),
                         random);
         startFeeds(store, directory, pollInterval, news, random);
         mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
@@ -151,6 +156,35 @@
                 MAINTENANCE_INTERVAL, () -> maintain(directory, placement, news));
     }
 
+    private LeaderTasks startLeaderTasks(
+            PlatformSettings settings, LeaderTasks.Dependencies dependencies) {
+        return LeaderTasks.start(
+                mControl,
+                dependencies,
+                settings.vmName(),
+                settings.usageWindowMillis(),
+                LeaseTiming.standard().withMinimumTurn(settings.leaseTurnMillis()));
+    }
+
+    private AllowanceExchange startAllowances(
+            PlatformSettings settings,
+            ObjectClient store,
+            LeaderTasks leaderTasks,
+            String incarnation) {
+        return AllowanceExchange.start(
+                mControl,
+                mState,
+                leaderTasks,
+                store,
+                new AllowanceExchange.Identity(
+                        settings.vmName(),
+                        incarnation,
+                        new ListenAddress(
+                                settings.callerAddress().host(), settings.exchangePorts())),
+                settings.allowanceTolerance(),
+                mMetrics);
+    }
+
     private static LocalRetryBudgets retryBudgets(PlatformSettings settings) {
         return LocalRetryBudgets.create(
                 settings.retryRatio(),
@@ -226,6 +260,7 @@
         }
         // Callers get an answer, which a connection that is just closed does not give.
         mControl.execute(mGateway::endOpenRequests);
+        mControl.execute(mAllowances::close);
         long closeMillis = deadlineMillis + LAST_RESPONSES_MILLIS;
         mCallerServer.stop(
                 Duration.ofMillis(Math.max(0, closeMillis - MonotonicClock.nowMillis())));
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -27,6 +27,7 @@
 import org.vanilladoor.fleet.Endpoints;
 import org.vanilladoor.fleet.Placement;
 import org.vanilladoor.fleet.RequestLimits;
+import org.vanilladoor.gateway.AllowanceControl;
 import org.vanilladoor.gateway.Gateway;
 import org.vanilladoor.gateway.GatewayMetrics;
 import org.vanilladoor.gateway.LocalRetryBudgets;
@@ -61,6 +62,9 @@
     final List<ScriptedEndpoint> mEndpoints = new ArrayList<>();
     FrontServer mServer;
 
+    /** Admission within the teams' allowances; set before the gateway starts. */
+    AllowanceControl mAllowances = AllowanceControl.UNLIMITED;
+
     /** Whether the configuration is confirmed before each request, as by a store that answers. */
     boolean mConfirmsConfiguration = true;
 
@@ -88,6 +92,7 @@
                                 "vm"),
                         new Gateway.Accounting(
                                 retryBudgets(),
+                                mAllowances,
                                 mStartedTeams::add,
                                 new IgnoringLoadSink(),
                                 mMemory,
