--- a/src/test/java/org/vanilladoor/platform/SoakPlatform.java
+++ b/src/test/java/org/vanilladoor/platform/SoakPlatform.java
@@ -11,7 +11,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.http.HttpExchange;
@@ -27,6 +30,7 @@
     private static final String PREFIX = "/api/objects/";
     private static final String LEASE_KIND = "vanilladoor-lease";
     private static final String LEASE_NAME = "fleet";
+    private static final String ROSTER_KIND = "vanilladoor-roster";
     private static final int MAXIMUM_BODY_BYTES = 1_048_576;
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(1);
 
@@ -35,6 +39,7 @@
 
     private static final long MINIMUM_LEASE_GAP_MILLIS = 3_000;
     private final HttpService mService;
+    private final List<HttpService> mViews = new CopyOnWriteArrayList<>();
     private final SoakLedger mLedger;
     private final Map<String, Map<String, ObjectNode>> mObjectsByKind = new HashMap<>();
     private final List<ObjectChange> mChanges = new ArrayList<>();
@@ -50,7 +55,13 @@
     private SoakPlatform(SoakLedger ledger) throws IOException {
         mLedger = ledger;
         HostPort anyPort = new HostPort("127.0.0.1", 0);
-        mService = HttpService.start("soak-platform", anyPort, IDLE_TIMEOUT, null, this::handle);
+        mService =
+                HttpService.start(
+                        "soak-platform",
+                        anyPort,
+                        IDLE_TIMEOUT,
+                        null,
+                        exchange -> handle(exchange, body -> body));
     }
 
     static SoakPlatform start(SoakLedger ledger) throws IOException {
@@ -61,6 +72,43 @@
         return mService.address();
     }
 
+    /**
+     * Adds an address at which the roster states another address of the lease holder, as if the
+     * reader reached the holder through a link.
+     */
+    HostPort addView(Supplier<HostPort> exchangeAddress) throws IOException {
+        HttpService view =
+                HttpService.start(
+                        "soak-view",
+                        new HostPort("127.0.0.1", 0),
+                        IDLE_TIMEOUT,
+                        null,
+                        exchange ->
+                                handle(
+                                        exchange,
+                                        body -> withExchange(body, exchangeAddress.get())));
+        mViews.add(view);
+        return view.address();
+    }
+
+    /** Returns the address at which the lease holder listens for the other VMs. */
+    synchronized Optional<HostPort> exchangeAddress() {
+        return Optional.ofNullable(objectsOf(ROSTER_KIND).get("fleet"))
+                .map(roster -> roster.path("spec").path("exchange").asText(""))
+                .filter(address -> !address.isEmpty())
+                .map(HostPort::parse);
+    }
+
+    private static JsonNode withExchange(JsonNode body, HostPort address) {
+        JsonNode copy = body.deepCopy();
+        for (JsonNode item : copy.path("items")) {
+            if (item.path("spec").has("exchange")) {
+                ((ObjectNode) item.get("spec")).put("exchange", address.toString());
+            }
+        }
+        return copy;
+    }
+
     /** Returns the number of watch requests received. */
     int watchRequestCount() {
         return mWatchRequests.get();
@@ -126,9 +174,10 @@
     @Override
     public void close() {
         mService.close();
+        mViews.forEach(HttpService::close);
     }
 
-    private void handle(HttpExchange exchange) throws IOException {
+    private void handle(HttpExchange exchange, UnaryOperator<JsonNode> view) throws IOException {
         if (mState == State.UNAVAILABLE) {
             exchange.respondJson(503, Json.write(errorBody("busy")));
             return;
@@ -145,7 +194,7 @@
                 // Closes the connection without a response.
                 throw new IOException("response dropped on purpose");
             }
-            exchange.respondJson(response.status(), Json.write(response.body()));
+            exchange.respondJson(response.status(), Json.write(view.apply(response.body())));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("platform stand-in is stopping", e);
