--- a/src/main/java/org/vanilladoor/allowance/AllowanceAccount.java
+++ b/src/main/java/org/vanilladoor/allowance/AllowanceAccount.java
@@ -41,8 +41,11 @@
     private static final long SHARE_FREE_MILLIS =
             AllowanceLedger.CONSECUTIVE_MILLIS + AllowanceLedger.LENT_MILLIS + 50;
 
-    /** Longest time until all VMs know of a new VM and use smaller shares. */
-    private static final long VM_COUNT_KNOWN_MILLIS = 8_000;
+    /** Longest time until a new VM is counted and all VMs know that number. */
+    private static final long VM_COUNT_KNOWN_MILLIS = 16_000;
+
+    /** A process that is called less often has been suspended. */
+    private static final long SUSPENDED_MILLIS = 1_000;
 
     /** A request that has been admitted longer ago isn't returned when it does not run. */
     private static final long CREDIT_MILLIS = 300;
@@ -59,7 +62,8 @@
     private int mVmCount;
     private long mVmCountKnownMillis = NEVER;
     private long mContactMillis = NEVER;
-    private long mContactBeganMillis = NEVER;
+    private long mCreditFromMillis = NEVER;
+    private long mCalledMillis = NEVER;
     private long mSequence;
     private long mSentMillis = NEVER;
     private long mQuicklyAnswered;
@@ -131,7 +135,7 @@
     public void credit(String team, double cost, long admittedMillis, long nowMillis) {
         boolean isRecent =
                 nowMillis - admittedMillis <= CREDIT_MILLIS
-                        && admittedMillis >= mContactBeganMillis
+                        && admittedMillis >= mCreditFromMillis
                         && !isFallenBack(nowMillis);
         if (isRecent) {
             team(team).addReturned(cost);
@@ -172,21 +176,18 @@
                 (name, account) -> {
                     account.expire(nowMillis);
                     double returned = account.takeReturned();
-                    GrantRequest.Entry entry =
-                            account.toEntry(name, mLends ? returned : 0, nowMillis);
-                    if (entry.wanted() > 0 || entry.returned() > 0) {
-                        entries.add(entry);
-                    }
+                    account.addEntries(name, mLends ? returned : 0, entries, nowMillis);
                     account.clearWaiting();
                 });
         mTeams.values().removeIf(account -> account.isIdle(nowMillis, IDLE_MILLIS));
         mSequence++;
         mSentMillis = nowMillis;
-        mUnanswered.add(new SentRequest(mSequence, nowMillis));
-        while (nowMillis - mUnanswered.peek().sentMillis() > FALL_BACK_MILLIS) {
-            mUnanswered.remove();
-        }
-        return new GrantRequest(mVm, mIncarnation, mSequence, mLends ? mTerm : 0, entries);
+        GrantRequest request =
+                new GrantRequest(mVm, mIncarnation, mSequence, mLends ? mTerm : 0, entries);
+        mUnanswered.removeIf(
+                sent -> nowMillis - sent.sentMillis() > AllowanceLedger.CONSECUTIVE_MILLIS);
+        mUnanswered.add(new SentRequest(request, nowMillis));
+        return request;
     }
 
     /** Takes over what a holder grants. Replies of an earlier holder, or repeated, are dropped. */
@@ -197,16 +198,16 @@
             return;
         }
         if (reply.term() > mTerm) {
-            followHolder(reply.term());
+            followHolder(reply.term(), nowMillis);
         }
         if (nowMillis - sent.sentMillis() <= QUICK_REPLY_MILLIS) {
             recordContact(sent, nowMillis);
         }
         long endMillis = sent.sentMillis() + ADVANCE_VALIDITY_MILLIS;
-        for (GrantReply.Entry entry : reply.entries()) {
-            if (endMillis > nowMillis) {
-                team(entry.team()).recordReply(entry, endMillis, nowMillis);
-            }
+        int entries = Math.min(sent.request().entries().size(), reply.entries().size());
+        for (int i = 0; i < entries && endMillis > nowMillis; i++) {
+            GrantRequest.Entry entry = sent.request().entries().get(i);
+            team(entry.team()).recordReply(entry, reply.entries().get(i), endMillis, nowMillis);
         }
         mTeams.values().forEach(TeamAccount::clearWaiting);
     }
@@ -221,11 +222,16 @@
         return mTerm;
     }
 
-    /** A process has contact from its start on, so it waits before it uses its own share. */
+    /**
+     * A process that has just started or was suspended waits before it uses its own share: it may
+     * not know the present number of VMs, nor that there is a holder.
+     */
     private void noteTime(long nowMillis) {
-        if (mContactMillis == NEVER) {
+        if (nowMillis - mCalledMillis > SUSPENDED_MILLIS) {
             mContactMillis = nowMillis;
+            mOwnShares.clear();
         }
+        mCalledMillis = nowMillis;
         if (mVmCount > 0 && mVmCountKnownMillis == NEVER) {
             mVmCountKnownMillis = nowMillis;
         }
@@ -249,16 +255,17 @@
     }
 
     /** The previous holder may go on counting this VM's share for a while. */
-    private void followHolder(long term) {
+    private void followHolder(long term, long nowMillis) {
         mTerm = term;
         mLends = false;
         mLendFromMillis = mLentMillis + SHARE_FREE_MILLIS;
-        mTeams.values().forEach(TeamAccount::takeReturned);
+        mCreditFromMillis = nowMillis + ADVANCE_VALIDITY_MILLIS;
+        mTeams.values().forEach(TeamAccount::dropReturned);
     }
 
     private void recordContact(SentRequest sent, long nowMillis) {
         if (isFallenBack(nowMillis)) {
-            mContactBeganMillis = nowMillis;
+            mCreditFromMillis = Math.max(mCreditFromMillis, nowMillis);
             mOwnShares.clear();
         }
         mQuicklyAnswered = Math.max(mQuicklyAnswered, sent.sequence());
@@ -285,5 +292,9 @@
     }
 
     /** A request without a reply. */
-    private record SentRequest(long sequence, long sentMillis) {}
+    private record SentRequest(GrantRequest request, long sentMillis) {
+        long sequence() {
+            return request.sequence();
+        }
+    }
 }
--- a/src/main/java/org/vanilladoor/allowance/AllowanceLedger.java
+++ b/src/main/java/org/vanilladoor/allowance/AllowanceLedger.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -28,6 +27,14 @@
     /** Time after its first request for which a ledger grants from its start level. */
     private static final long START_MILLIS = 1_500;
 
+    /** VMs that a ledger hears from in its first time are no new VMs. */
+    private static final long TAKE_OVER_MILLIS = 6_000;
+
+    /**
+     * Time after the first request of a new VM after which all VMs know a number that counts it.
+     */
+    private static final long SETTLED_MILLIS = 14_000;
+
     private static final long FORGET_MILLIS = 30_000;
     private static final long NO_FILL_RETRY_MILLIS = 1_000;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -35,6 +42,7 @@
     private final long mTerm;
     private final Map<String, Lender> mLenders = new HashMap<>();
     private final Map<String, TeamBucket> mBuckets = new HashMap<>();
+    private final VmCountHistory mVmCounts = new VmCountHistory();
     private boolean mIsStarted;
     private long mStartMillis;
     private long mNowMillis;
@@ -61,12 +69,16 @@
     public GrantReply handle(
             GrantRequest request, Map<String, Allowance> allowances, int vmCount, long nowMillis) {
         advance(Math.max(1, vmCount), nowMillis);
-        Lender lender = mLenders.computeIfAbsent(request.vm(), vm -> new Lender());
+        Lender lender = mLenders.computeIfAbsent(request.vm(), vm -> newLender(nowMillis));
         if (lender.isRepeated(request)) {
             return new GrantReply(mTerm, request.sequence(), List.of());
         }
         boolean lends = request.term() == mTerm && lender.isConsecutive(request, nowMillis);
+        boolean beginsToLend = lends && lender.mLentUntilMillis <= nowMillis;
         lender.record(request, lends, nowMillis);
+        if (beginsToLend) {
+            mLentPart = lentPart(nowMillis);
+        }
         if (mBuckets.size() > allowances.size()) {
             mBuckets.keySet().retainAll(allowances.keySet());
         }
@@ -84,23 +96,41 @@
             mStartMillis = nowMillis;
             mNowMillis = nowMillis;
         }
+        mVmCounts.record(vmCount, nowMillis);
         if (nowMillis <= mNowMillis) {
             return;
         }
-        long lentMillis = 0;
+        double lentPart = lentPart(nowMillis);
+        double lentMillis = Math.min(mLentPart, lentPart) * (nowMillis - mNowMillis);
+        mFilledSeconds += lentMillis / MILLIS_PER_SECOND;
+        mNowMillis = nowMillis;
+        mLentPart = lentPart;
+        mLenders.values().removeIf(i -> nowMillis - i.mHandledMillis > FORGET_MILLIS);
+    }
+
+    /**
+     * Returns which part of all shares is lent now. VMs that don't lend theirs may be using them,
+     * and may know any number of VMs of the last seconds. New VMs count only if no VM is missing,
+     * since the others still use larger shares.
+     */
+    private double lentPart(long nowMillis) {
         int lending = 0;
-        for (Iterator<Lender> i = mLenders.values().iterator(); i.hasNext(); ) {
-            Lender lender = i.next();
-            lentMillis += lender.lentMillis(mNowMillis, nowMillis);
-            lending += lender.mLentUntilMillis > nowMillis ? 1 : 0;
-            if (nowMillis - lender.mHandledMillis > FORGET_MILLIS) {
-                i.remove();
+        int settled = 0;
+        for (Lender lender : mLenders.values()) {
+            if (lender.mLentUntilMillis > nowMillis) {
+                lending++;
+                settled += lender.isSettled(nowMillis) ? 1 : 0;
             }
         }
-        double millis = Math.min(nowMillis - mNowMillis, (double) lentMillis / vmCount);
-        mFilledSeconds += millis / MILLIS_PER_SECOND;
-        mLentPart = Math.min(1, (double) lending / vmCount);
-        mNowMillis = nowMillis;
+        if (lending >= mVmCounts.highest()) {
+            return 1;
+        }
+        return Math.min(1, (double) settled / mVmCounts.lowest());
+    }
+
+    private Lender newLender(long nowMillis) {
+        boolean isNew = nowMillis - mStartMillis >= TAKE_OVER_MILLIS;
+        return new Lender(isNew ? nowMillis + SETTLED_MILLIS : nowMillis);
     }
 
     private GrantReply.Entry grant(
@@ -148,11 +178,16 @@
 
     /** What is known of one VM. */
     private static final class Lender {
+        private final long mSettledMillis;
         private String mIncarnation = "";
         private long mSequence;
         private long mHandledMillis;
         private long mLentUntilMillis = Long.MIN_VALUE;
 
+        Lender(long settledMillis) {
+            mSettledMillis = settledMillis;
+        }
+
         boolean isRepeated(GrantRequest request) {
             return mIncarnation.equals(request.incarnation()) && request.sequence() <= mSequence;
         }
@@ -176,8 +211,8 @@
             }
         }
 
-        long lentMillis(long fromMillis, long toMillis) {
-            return Math.max(0, Math.min(toMillis, mLentUntilMillis) - fromMillis);
+        boolean isSettled(long nowMillis) {
+            return nowMillis >= mSettledMillis;
         }
     }
 }
--- a/src/main/java/org/vanilladoor/allowance/GrantRequest.java
+++ b/src/main/java/org/vanilladoor/allowance/GrantRequest.java
@@ -22,12 +22,13 @@
     }
 
     /**
-     * What a VM wants and returns for one team.
+     * What a VM wants and returns for one team. A team with requests of different sizes has two
+     * entries: the first for the largest request, the second for all others.
      *
      * @param team name of the team
      * @param wanted cost of all requests that wait, and of those that are expected
-     * @param needed cost of the request that has waited longest: the least that is of use; 0 if
-     *     none waits
+     * @param needed the least that is of use: the cost of the smallest of these requests that
+     *     waits; 0 if none waits
      * @param returned rest of expired advances and cost of requests that did not run
      */
     public record Entry(String team, double wanted, double needed, double returned) {}
