--- a/src/main/java/org/vanilladoor/allowance/TeamAccount.java
+++ b/src/main/java/org/vanilladoor/allowance/TeamAccount.java
@@ -110,7 +110,7 @@
     /** Adds what is wanted and returned, if anything. */
     void addEntries(
             String team, double returned, List<GrantRequest.Entry> entries, long nowMillis) {
-        double expected = Math.max(0, recentUse(nowMillis) - mAvailable);
+        double expected = expected(nowMillis);
         if (mWaiting > 0 && mLargest > mSmallest) {
             double others = mWaiting - mLargest + expected;
             entries.add(new GrantRequest.Entry(team, mLargest, mLargest, returned));
@@ -122,6 +122,17 @@
         }
     }
 
+    /**
+     * Returns what further requests will probably cost while the advance is valid: as much as the
+     * last ones, but the largest, and whole requests, since the rest would lie unused.
+     */
+    private double expected(long nowMillis) {
+        double expected = Math.max(0, recentUse(nowMillis) - mLargest - mAvailable);
+        return mWaiting > 0 && mSmallest > 0
+                ? Math.floor(expected / mSmallest) * mSmallest
+                : expected;
+    }
+
     void recordReply(
             GrantRequest.Entry request, GrantReply.Entry reply, long endMillis, long nowMillis) {
         if (reply.granted() > 0) {
--- a/src/main/java/org/vanilladoor/allowance/TeamBucket.java
+++ b/src/main/java/org/vanilladoor/allowance/TeamBucket.java
@@ -80,7 +80,11 @@
     /** Takes what is needed, and of what else is wanted at most half of the rest. */
     double grant(double needed, double wanted) {
         double spare = Math.max(0, mBucket.level() - needed) / 2;
-        double granted = needed + Math.min(Math.max(0, wanted - needed), spare);
+        double further = Math.max(0, wanted - needed);
+        if (further > spare) {
+            further = needed > 0 ? Math.floor(spare / needed) * needed : spare;
+        }
+        double granted = needed + further;
         if (granted > 0) {
             mBucket.take(granted);
         }
--- a/src/test/java/org/vanilladoor/allowance/AllowanceFuzzTests.java
+++ b/src/test/java/org/vanilladoor/allowance/AllowanceFuzzTests.java
@@ -17,6 +17,7 @@
 class AllowanceFuzzTests {
     private static final int MAXIMUM_ACTION = 1_000_000;
     private static final long STEP_MILLIS = SimulatedAllowances.STEP_MILLIS;
+    private static final int VMS = 8;
     private static final long WARM_UP_MILLIS = 4_000;
 
     @Property(tries = 1500, seed = "5101")
@@ -67,6 +68,7 @@
                 new SimulatedAllowances(
                         allowance,
                         new AllowanceTolerance(8_000, 0.1, slack),
+                        VMS,
                         4 + script.get(0) % 3);
         demandOnAll(fleet, 0, allowance, costs);
         fleet.advance(WARM_UP_MILLIS);
@@ -80,8 +82,8 @@
     /** Decodes a random number into an action, a VM and its detail, and performs it. */
     private static void perform(
             SimulatedAllowances fleet, int number, Allowance allowance, double... costs) {
-        SimulatedVm vm = fleet.vm(number / 32 % SimulatedAllowances.VMS);
-        int detail = number / 32 / SimulatedAllowances.VMS;
+        SimulatedVm vm = fleet.vm(number / 32 % VMS);
+        int detail = number / 32 / VMS;
         switch (number % 32) {
             case 0, 1, 2, 3 -> fleet.advance(100 + millis(detail, 40));
             case 16, 17, 18 -> fleet.advance(500 + millis(detail, 150));
@@ -117,14 +119,14 @@
 
     private static void demandOnAll(
             SimulatedAllowances fleet, int detail, Allowance allowance, double... costs) {
-        for (int i = 0; i < SimulatedAllowances.VMS; i++) {
+        for (int i = 0; i < VMS; i++) {
             demand(fleet.vm(i), detail + i, allowance, costs);
         }
     }
 
     /** Lets the buckets fill. */
     private static void pauseAll(SimulatedAllowances fleet, long millis) {
-        for (int i = 0; i < SimulatedAllowances.VMS; i++) {
+        for (int i = 0; i < VMS; i++) {
             fleet.vm(i).setDemand();
         }
         fleet.advance(millis);
@@ -132,7 +134,7 @@
 
     /** Ends all faults. */
     private static void heal(SimulatedAllowances fleet) {
-        for (int i = 0; i < SimulatedAllowances.VMS; i++) {
+        for (int i = 0; i < VMS; i++) {
             fleet.vm(i).setLosses(false, false, false);
             fleet.vm(i).setDelays(STEP_MILLIS, STEP_MILLIS);
             fleet.vm(i).setNotRun(0);
@@ -150,9 +152,9 @@
 
     /** Cuts some VMs off from the holder, or ends that. */
     private static void partition(SimulatedAllowances fleet, int detail) {
-        for (int i = 0; i < SimulatedAllowances.VMS; i++) {
+        for (int i = 0; i < VMS; i++) {
             boolean isCut = (detail >> i & 1) == 1;
-            boolean isOneWay = (detail >> SimulatedAllowances.VMS & 1) == 1;
+            boolean isOneWay = (detail >> VMS & 1) == 1;
             fleet.vm(i).setLosses(isCut && !isOneWay, isCut, false);
         }
     }
--- a/src/test/java/org/vanilladoor/allowance/SimulatedAllowances.java
+++ b/src/test/java/org/vanilladoor/allowance/SimulatedAllowances.java
@@ -19,7 +19,6 @@
  * 1,000. Confined to one thread.
  */
 final class SimulatedAllowances {
-    static final int VMS = 8;
     static final long STEP_MILLIS = 10;
     static final String TEAM = "a";
     private static final long PUBLISH_MILLIS = 3_000;
@@ -45,14 +44,15 @@
     private long mHeldMillis;
     private int mPublishedCount;
 
-    SimulatedAllowances(Allowance allowance, AllowanceTolerance tolerance, int living) {
+    SimulatedAllowances(Allowance allowance, AllowanceTolerance tolerance, int vms, int living) {
         mAllowance = allowance;
         mTolerance = tolerance;
         mUse = new TeamUse(tolerance);
         mUse.setAllowance(allowance, 0);
-        for (int i = 0; i < VMS; i++) {
+        for (int i = 0; i < vms; i++) {
             mVms.add(new SimulatedVm(i));
         }
+        mPublishedCount = living;
         mVms.subList(0, living).forEach(SimulatedVm::start);
         takeOver(vm(0), 0, 0);
     }
@@ -61,6 +61,10 @@
         return mVms.get(index);
     }
 
+    List<SimulatedVm> vms() {
+        return mVms;
+    }
+
     TeamUse use() {
         return mUse;
     }
@@ -260,6 +264,11 @@
             }
         }
 
+        /** Lets one request arrive now. */
+        void sendRequest(double cost) {
+            admit(new Waiting(cost, mNowMillis, clockMillis()));
+        }
+
         /** Sets the costs of the requests that arrive in each step. */
         void setDemand(double... costs) {
             mCosts = costs;
