--- a/src/main/java/org/vanilladoor/exchange/AdmissionQueue.java
+++ b/src/main/java/org/vanilladoor/exchange/AdmissionQueue.java
@@ -1,9 +1,9 @@
 package org.vanilladoor.exchange;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.vanilladoor.allowance.Allowance;
 import org.vanilladoor.allowance.AllowanceAccount;
 import org.vanilladoor.allowance.Decision;
@@ -29,7 +29,7 @@
 
     private final AllowanceAccount mAccount;
     private final ExchangeMetrics mMetrics;
-    private final Deque<Waiting> mWaiting = new ArrayDeque<>();
+    private final Set<Waiting> mWaiting = new LinkedHashSet<>();
 
     AdmissionQueue(AllowanceAccount account, ExchangeMetrics metrics) {
         mAccount = account;
@@ -74,11 +74,17 @@
     /** Decides on the requests that have waited long enough, without an advance if need be. */
     void endLongWaits(long nowMillis) {
         List<Waiting> ended = new ArrayList<>();
-        while (!mWaiting.isEmpty()
-                && nowMillis - mWaiting.peek().mSinceMillis >= MAXIMUM_WAIT_MILLIS) {
-            ended.add(mWaiting.remove());
+        for (Waiting request : mWaiting) {
+            if (nowMillis - request.mSinceMillis < MAXIMUM_WAIT_MILLIS) {
+                break;
+            }
+            ended.add(request);
         }
         for (Waiting request : ended) {
+            if (!mWaiting.remove(request)) {
+                // The outcome of another request has ended this wait.
+                continue;
+            }
             Decision decision =
                     mAccount.tryAdmitAfterWait(
                             request.mTeam, request.mAllowance, request.mCost, nowMillis);
