--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -43,6 +43,7 @@
     private final AttemptBudget mAttemptBudget;
     private final EndpointChoice mChoice;
     private final PrefillLoad mPrefillLoad;
+    private final RequestAdmission mAdmission;
     private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
     private Runnable mOnEnd = () -> {};
@@ -50,7 +51,7 @@
     private EndpointExchange mCall;
     private boolean mSkipSeparatePrefill;
 
-    private RequestExecution(
+    RequestExecution(
             GatewayContext context,
             FrontExchange exchange,
             CallerRequest request,
@@ -70,33 +71,30 @@
                         context.state()::vmCount,
                         context.metrics());
         mChoice = EndpointChoice.create(context, request, route, mService);
+        mAdmission = RequestAdmission.of(context.allowances(), request, team);
         mDeadlineMillis = mProgress.deadlineMillis();
         mPrefillLoad = PrefillLoad.create(context.load(), mService, mProgress.dueMillis(route));
     }
 
-    static RequestExecution create(
-            GatewayContext context,
-            FrontExchange exchange,
-            CallerRequest request,
-            Route route,
-            Optional<AuthorizedTeam> team) {
-        return new RequestExecution(context, exchange, request, route, team);
-    }
-
-    /**
-     * Starts the execution.
-     *
-     * @param onEnd runs once the request has its response or the caller has disconnected
-     */
+    /** Starts; the action runs once the request has its response or the caller has disconnected. */
     void start(Runnable onEnd) {
         mOnEnd = onEnd;
         long nowMillis = MonotonicClock.nowMillis();
-        mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
         mResponse.onDisconnect(this::onCallerDisconnected);
         mResponse.limitTime(Math.max(0, mDeadlineMillis - nowMillis), this::onTimeout);
+        mAdmission.start(this::beginFirstAttempt, this::refuseOverAllowance);
+    }
+
+    private void beginFirstAttempt() {
+        long nowMillis = MonotonicClock.nowMillis();
+        mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
         proceed();
     }
 
+    private void refuseOverAllowance(long millisUntilRoom, String reason) {
+        finish(mResponse.refuse(Refusal.OVER_ALLOWANCE, millisUntilRoom), reason);
+    }
+
     /** Starts the next step: separate prefill, waiting for a prefill engine, or the run. */
     private void proceed() {
         if (isDone() || endIfNotSendable()) {
@@ -188,7 +186,7 @@
 
     private void onPrefillTimeout(EndpointExchange call) {
         if (!isDone() && mCall == call) {
-            call.abandon();
+            abandonCall();
             mContext.placement().recordUnreachable(call.endpoint(), MonotonicClock.nowMillis());
             retryElsewhere(call.endpoint(), "the prefill timed out");
         }
@@ -308,8 +306,8 @@
         if (mCall != null) {
             // Abandoning comes first: only then is it final whether the call has been sent.
             mCall.abandon();
-            if (mCall.stage() == EndpointCall.Stage.RUN && mCall.isSent()) {
-                mProgress.markPossiblyRun();
+            if (mCall.isSent()) {
+                mProgress.markPossiblyDone(mCall.stage());
             }
             mCall = null;
         }
@@ -328,6 +326,7 @@
     private void finish(CallerResponse.End end, String reason) {
         mPrefillLoad.setPrefilling(false);
         leaveQueue();
+        mAdmission.end(mProgress.mayHaveWorked());
         mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS);
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
         mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), tookMillis);
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -28,6 +28,7 @@
 import org.vanilladoor.fleet.Endpoints;
 import org.vanilladoor.fleet.Placement;
 import org.vanilladoor.fleet.RequestLimits;
+import org.vanilladoor.gateway.AllowanceControl;
 import org.vanilladoor.gateway.Gateway;
 import org.vanilladoor.gateway.GatewayMetrics;
 import org.vanilladoor.gateway.LocalRetryBudgets;
@@ -62,6 +63,10 @@
     final List<String> mStartedTeams = new CopyOnWriteArrayList<>();
     final List<ScriptedEndpoint> mEndpoints = new ArrayList<>();
     FrontServer mServer;
+    Gateway mGateway;
+
+    /** Admission within the teams' allowances; set before the gateway starts. */
+    AllowanceControl mAllowances = AllowanceControl.UNLIMITED;
 
     /** Whether the configuration is confirmed before each request, as by a store that answers. */
     boolean mConfirmsConfiguration = true;
@@ -72,7 +77,7 @@
         mState.confirmNewest(ExpiryClock.nowMillis());
         mState.markEndpointsListed();
         mState.setVmCount(1);
-        Gateway gateway =
+        mGateway =
                 Gateway.start(
                         mControl,
                         mConnections,
@@ -90,6 +95,7 @@
                                 "vm"),
                         new Gateway.Accounting(
                                 retryBudgets(),
+                                mAllowances,
                                 mStartedTeams::add,
                                 mLoad,
                                 mMemory,
@@ -102,7 +108,7 @@
                         mMemory,
                         8_192,
                         () -> 1_000,
-                        gateway::handle);
+                        mGateway::handle);
     }
 
     @AfterEach
@@ -247,6 +253,10 @@
     }
 
     static ServingConfiguration configuration(long version) {
+        return configuration(version, new AuthorizedTeam("team", OptionalInt.empty()));
+    }
+
+    static ServingConfiguration configuration(long version, AuthorizedTeam team) {
         return ServingConfiguration.of(
                 version,
                 List.of(
@@ -258,7 +268,7 @@
                         route("/resume-often/", RouteKind.STREAM, false, true)),
                 List.of(),
                 new RequestSizeLimits(8_192, 1_000),
-                Map.of("secret", new AuthorizedTeam("team", OptionalInt.empty())),
+                Map.of("secret", team),
                 true);
     }
 
