Use the own share of an allowance once the holder says that its term is over

A refusal as not the holder, from the process that has answered before, now ends the lending at once; waiting requests are decided again. The holder's address is read each 500 ms until a holder answers, instead of with growing pauses.

--- a/src/main/java/org/vanilladoor/allowance/AllowanceAccount.java
+++ b/src/main/java/org/vanilladoor/allowance/AllowanceAccount.java
@@ -212,6 +212,19 @@
         mTeams.values().forEach(TeamAccount::clearWaiting);
     }
 
+    /**
+     * Records that the holder which answered last says that its term is over. It counts no shares
+     * any more, so that this VM may use its own at once.
+     */
+    public void recordHolderEnded(long nowMillis) {
+        noteTime(nowMillis);
+        if (mTerm > 0 && !isFallenBack(nowMillis)) {
+            mContactMillis = nowMillis - FALL_BACK_MILLIS;
+            mLends = false;
+            mOwnShares.clear();
+        }
+    }
+
     /** Returns whether this VM has had no contact with a holder for so long that it is alone. */
     public boolean isFallenBack(long nowMillis) {
         return mContactMillis != NEVER && nowMillis - mContactMillis >= FALL_BACK_MILLIS;
--- a/src/main/java/org/vanilladoor/exchange/AllowanceExchange.java
+++ b/src/main/java/org/vanilladoor/exchange/AllowanceExchange.java
@@ -63,7 +63,7 @@
                         this::allowances,
                         identity.listenAddress(),
                         mMetrics);
-        mLink = new HolderLink(control, fleet, secret, this::receive, mMetrics);
+        mLink = new HolderLink(control, fleet, secret, this::receive, this::endHolder, mMetrics);
     }
 
     /**
@@ -176,6 +176,12 @@
         }
     }
 
+    private void endHolder() {
+        long nowMillis = ExpiryClock.nowMillis();
+        mAccount.recordHolderEnded(nowMillis);
+        mQueue.decideAgain(nowMillis);
+    }
+
     private void logFallBack(long nowMillis) {
         boolean isFallenBack = mAccount.isFallenBack(nowMillis);
         if (isFallenBack != mFallenBack) {
--- a/src/main/java/org/vanilladoor/exchange/HolderLink.java
+++ b/src/main/java/org/vanilladoor/exchange/HolderLink.java
@@ -24,11 +24,11 @@
 final class HolderLink {
     private static final long REPLY_TIMEOUT_MILLIS = 400;
 
-    /** Time without a reply after which the holder's address is read again. */
-    private static final long FIRST_READ_MILLIS = 500;
-
-    /** Longest time between reads; a new holder takes over after about 5 s. */
-    private static final long MAXIMUM_READ_INTERVAL_MILLIS = 2_000;
+    /**
+     * Time without a reply after which the holder's address is read, and between reads. Until a VM
+     * knows a new holder, it has only its own share.
+     */
+    private static final long READ_INTERVAL_MILLIS = 500;
 
     /** Replies that may wait for the control thread; a holder sends one for each request. */
     private static final int MAXIMUM_PENDING = 64;
@@ -37,6 +37,7 @@
     private final FleetView mFleet;
     private final FleetSecret mSecret;
     private final Consumer<GrantReply> mReceiver;
+    private final Runnable mOnHolderEnded;
     private final ExchangeMetrics mMetrics;
     private final AtomicInteger mPending = new AtomicInteger();
     private Optional<HostPort> mAddress = Optional.empty();
@@ -45,18 +46,19 @@
     private long mSentMillis;
     private boolean mAnswered;
     private long mReadMillis = Long.MIN_VALUE / 2;
-    private long mReadIntervalMillis = FIRST_READ_MILLIS;
 
     HolderLink(
             ControlLoop control,
             FleetView fleet,
             FleetSecret secret,
             Consumer<GrantReply> receiver,
+            Runnable onHolderEnded,
             ExchangeMetrics metrics) {
         mControl = control;
         mFleet = fleet;
         mSecret = secret;
         mReceiver = receiver;
+        mOnHolderEnded = onHolderEnded;
         mMetrics = metrics;
     }
 
@@ -91,11 +93,10 @@
         }
         boolean isDue =
                 !mAnswered
-                        && nowMillis - mReadMillis >= mReadIntervalMillis
-                        && nowMillis - mSentMillis >= FIRST_READ_MILLIS;
+                        && nowMillis - mReadMillis >= READ_INTERVAL_MILLIS
+                        && nowMillis - mSentMillis >= READ_INTERVAL_MILLIS;
         if (isDue) {
             mReadMillis = nowMillis;
-            mReadIntervalMillis = Math.min(MAXIMUM_READ_INTERVAL_MILLIS, 2 * mReadIntervalMillis);
             mFleet.readHolderExchange();
             if (mSecret.value().isEmpty() && mFleet.holderExchange().isPresent()) {
                 mSecret.read(false);
@@ -132,7 +133,6 @@
                     mAddress.map(HostPort::toString).orElse("-"),
                     "reason",
                     reason);
-            mReadIntervalMillis = FIRST_READ_MILLIS;
         }
         mAnswered = false;
         drop();
@@ -154,11 +154,12 @@
                         granted.reply().term());
             }
             mAnswered = true;
-            mReadIntervalMillis = FIRST_READ_MILLIS;
             mReceiver.accept(granted.reply());
         } else if (response instanceof HeartbeatResponse.Refused refused) {
             if (refused.reason() == HeartbeatResponse.Reason.WRONG_SECRET) {
                 mSecret.forget();
+            } else if (mAnswered && refused.reason() == HeartbeatResponse.Reason.NOT_HOLDER) {
+                mOnHolderEnded.run();
             }
             lose("refused: " + refused.reason());
         }
--- a/src/test/java/org/vanilladoor/allowance/AllowanceAccountTests.java
+++ b/src/test/java/org/vanilladoor/allowance/AllowanceAccountTests.java
@@ -32,6 +32,19 @@
         assertThat(AllowanceUnit.TOKENS.cost(OptionalLong.empty(), 200)).isEqualTo(200);
     }
 
+    /** Guards against two seconds without requests after each regular change of the holder. */
+    @Test
+    void aVmUsesItsOwnShareAtOnceWhenTheHolderSaysThatItsTermIsOver() {
+        mAccount.setVmCount(1);
+        for (long millis = 0; millis <= 20_000; millis += 500) {
+            exchange(millis);
+        }
+        mAccount.recordHolderEnded(20_010);
+        assertThat(mAccount.isFallenBack(20_010)).isTrue();
+        assertThat(mAccount.tryAdmit("a", ALLOWANCE, 1, 20_100)).isEqualTo(Decision.ADMITTED);
+        assertThat(mAccount.tryAdmit("a", ALLOWANCE, 100, 20_100).isAdmitted()).isFalse();
+    }
+
     private void exchange(long nowMillis) {
         GrantReply reply =
                 mLedger.handle(mAccount.nextRequest(nowMillis), ALLOWANCES, 1, nowMillis + 1);
--- a/src/test/java/org/vanilladoor/allowance/SimulatedAllowances.java
+++ b/src/test/java/org/vanilladoor/allowance/SimulatedAllowances.java
@@ -177,12 +177,14 @@
         private final SimulatedVm mVm;
         private final AllowanceAccount mProcess;
         private final AllowanceLedger mLedger;
+        private final long mTerm;
         private long mEndMillis = Long.MAX_VALUE;
 
         Holder(SimulatedVm vm, long term) {
             mVm = vm;
             mProcess = vm.mAccount;
             mLedger = AllowanceLedger.create(mTolerance, term);
+            mTerm = term;
         }
 
         boolean isLiving() {
@@ -191,13 +193,17 @@
 
         /** A suspended holder handles the request when it resumes. */
         void receive(GrantRequest request, SimulatedVm sender) {
-            if (!isLiving()) {
+            if (mVm.mAccount != mProcess) {
                 return;
             }
             if (mVm.isSuspended()) {
                 at(mVm.mSuspendedUntilMillis, () -> receive(request, sender));
                 return;
             }
+            if (!isLiving()) {
+                refuse(sender);
+                return;
+            }
             GrantReply reply =
                     mLedger.handle(
                             request,
@@ -209,6 +215,20 @@
                 at(mNowMillis + sender.mReplyMillis, () -> sender.receive(reply, process));
             }
         }
+
+        /** Tells a VM that has had a reply in this term that the term is over. */
+        private void refuse(SimulatedVm sender) {
+            AllowanceAccount process = sender.mAccount;
+            if (process != null && process.term() == mTerm && !sender.mLosesReplies) {
+                at(
+                        mNowMillis + sender.mReplyMillis,
+                        () -> {
+                            if (sender.mAccount == process && sender.mHolder == this) {
+                                process.recordHolderEnded(sender.clockMillis());
+                            }
+                        });
+            }
+        }
     }
 
     /** A request of a caller that waits for an advance. */
