--- a/src/test/java/org/vanilladoor/fleet/CostPlacementTests.java
+++ b/src/test/java/org/vanilladoor/fleet/CostPlacementTests.java
@@ -130,6 +130,19 @@
         assertThat(mean).isLessThan(3.0);
     }
 
+    /** Guards against holders that differ from VM to VM, so that all engines read every prefix. */
+    @Test
+    void allVmsSendPromptsWithTheSamePrefixToTheSameEngines() {
+        List<Endpoint> engines = engines(20, EngineRole.PREFILL);
+        Set<String> used = new HashSet<>();
+        for (int vm = 0; vm < VMS; vm++) {
+            Placement placement = placement(200 + vm);
+            engines.forEach(engine -> placement.recordLoad(engine, load(1, 1), NOW_MILLIS));
+            used.add(prefill(placement, longPrompt("m/1"), 100, NOW_MILLIS).orElseThrow().name());
+        }
+        assertThat(used.size()).isAtMost(2);
+    }
+
     /** Guards against a queue behind the engine of a prefix that is in great demand. */
     @Test
     void aPrefixInGreatDemandIsReadByManyEngines() {
