Read the holder's address again while requests have no reply

Cause: each request sent to an address where nothing answers put off the read of the roster by another 500 ms, so that only the followers' usual read, every 4 s, found a new holder. A holder that had not counted the VMs took their number for 1, which would have granted one VM the whole allowance.

Change: the time without replies counts from the first request without one. An unknown number of VMs grants nearly nothing. Test that a deployment without an allowance has no exchange, also after an allowance was removed, and that the roster is then stored as before.

--- a/src/main/java/org/vanilladoor/exchange/HolderLink.java
+++ b/src/main/java/org/vanilladoor/exchange/HolderLink.java
@@ -44,6 +44,10 @@
     private boolean mAwaitsReply;
     private long mSentMillis;
     private boolean mAnswered;
+
+    /** When the first request without a reply was to be sent; 0 if the last one has a reply. */
+    private long mSilentSinceMillis;
+
     private long mReadMillis = Long.MIN_VALUE / 2;
     private long mReadIntervalMillis = FIRST_READ_MILLIS;
 
@@ -62,9 +66,12 @@
 
     /** Sends a request to the holder; without its address the request is dropped. */
     void send(FrameLoop loop, GrantRequest request) {
+        long nowMillis = MonotonicClock.nowMillis();
+        if (mSilentSinceMillis == 0) {
+            mSilentSinceMillis = nowMillis;
+        }
         Optional<HostPort> address = mFleet.holderExchange();
         if (address.isEmpty() || mSecret.value().isEmpty()) {
-            mAnswered = false;
             return;
         }
         if (!address.equals(mAddress)) {
@@ -76,7 +83,7 @@
         }
         if (!mAwaitsReply) {
             mAwaitsReply = true;
-            mSentMillis = MonotonicClock.nowMillis();
+            mSentMillis = nowMillis;
         }
         mMetrics.countSentHeartbeat();
         mConnection.send(FleetMessages.encode(new Heartbeat(mSecret.value().get(), request)));
@@ -90,9 +97,9 @@
             lose("no reply for " + REPLY_TIMEOUT_MILLIS + " ms");
         }
         boolean isDue =
-                !mAnswered
-                        && nowMillis - mReadMillis >= mReadIntervalMillis
-                        && nowMillis - mSentMillis >= FIRST_READ_MILLIS;
+                mSilentSinceMillis != 0
+                        && nowMillis - mSilentSinceMillis >= FIRST_READ_MILLIS
+                        && nowMillis - mReadMillis >= mReadIntervalMillis;
         if (isDue) {
             mReadMillis = nowMillis;
             mReadIntervalMillis = Math.min(MAXIMUM_READ_INTERVAL_MILLIS, 2 * mReadIntervalMillis);
@@ -105,6 +112,7 @@
 
     /** Closes the connection, if there is one. */
     void drop() {
+        mAnswered = false;
         mAwaitsReply = false;
         if (mConnection != null) {
             FrameConnection connection = mConnection;
@@ -134,7 +142,6 @@
                     reason);
             mReadIntervalMillis = FIRST_READ_MILLIS;
         }
-        mAnswered = false;
         drop();
     }
 
@@ -154,6 +161,7 @@
                         granted.reply().term());
             }
             mAnswered = true;
+            mSilentSinceMillis = 0;
             mReadIntervalMillis = FIRST_READ_MILLIS;
             mReceiver.accept(granted.reply());
         } else if (response instanceof HeartbeatResponse.Refused refused) {
--- a/src/main/java/org/vanilladoor/exchange/HolderServer.java
+++ b/src/main/java/org/vanilladoor/exchange/HolderServer.java
@@ -28,6 +28,9 @@
 final class HolderServer {
     private static final int MAXIMUM_PENDING = 1_024;
 
+    /** Taken for the number of VMs until they have been counted: nearly nothing is granted. */
+    private static final int UNKNOWN_VMS = 1_000_000;
+
     /** Pause after no port could be listened on, or the secret could not be read. */
     private static final long RETRY_MILLIS = 1_000;
 
@@ -119,7 +122,7 @@
                 mLedger.handle(
                         request,
                         mAllowances.get(),
-                        Math.max(1, mFleet.countedProcesses()),
+                        mFleet.countedProcesses() > 0 ? mFleet.countedProcesses() : UNKNOWN_VMS,
                         ExpiryClock.nowMillis()));
     }
 
--- a/src/test/java/org/vanilladoor/platform/AllowanceProcessTests.java
+++ b/src/test/java/org/vanilladoor/platform/AllowanceProcessTests.java
@@ -186,6 +186,31 @@
         }
     }
 
+    /** A deployment without allowances must not open a port or make further calls. */
+    @Test
+    void withoutAnAllowanceThereIsNoExchange() throws Exception {
+        try (AllowanceFleet fleet = AllowanceFleet.start(2, "\"priority\":1,\"rate_per_s\":0")) {
+            fleet.awaitServing();
+            Thread.sleep(8_000);
+            checkNoExchange(fleet);
+            fleet.configure(ALLOWANCE);
+            fleet.awaitExchange();
+            assertThat(fleet.platform().exchangeAddress().isPresent()).isTrue();
+            fleet.configure("\"priority\":1");
+            Thread.sleep(5_000);
+            assertThat(fleet.platform().exchangeAddress().isPresent()).isFalse();
+        }
+    }
+
+    private static void checkNoExchange(AllowanceFleet fleet) throws Exception {
+        assertThat(fleet.platform().hasObjects("vanilladoor-roster")).isTrue();
+        assertThat(fleet.platform().hasObjects("vanilladoor-exchange")).isFalse();
+        assertThat(fleet.platform().exchangeAddress().isPresent()).isFalse();
+        for (SoakVm vm : fleet.vms()) {
+            assertThat(AllowanceFleet.log(vm)).doesNotContain("part=exchange");
+        }
+    }
+
     private static SoakVm nonHolder(AllowanceFleet fleet) throws Exception {
         SoakVm holder = fleet.holder().orElseThrow();
         return fleet.vms().stream().filter(vm -> vm != holder).findFirst().orElseThrow();
--- a/src/test/java/org/vanilladoor/platform/SoakPlatform.java
+++ b/src/test/java/org/vanilladoor/platform/SoakPlatform.java
@@ -99,6 +99,11 @@
                 .map(HostPort::parse);
     }
 
+    /** Returns whether there is an object of the kind. */
+    synchronized boolean hasObjects(String kind) {
+        return !objectsOf(kind).isEmpty();
+    }
+
     private static JsonNode withExchange(JsonNode body, HostPort address) {
         JsonNode copy = body.deepCopy();
         for (JsonNode item : copy.path("items")) {
