Let targets files state allowances of teams

Change: [[team]] takes rate_per_second, burst, unit and plain_tokens; invalid figures are findings in their places, and a burst without a rate is one too. The allowance is stored with the team, whose object is unchanged without one.

--- a/src/main/java/org/vanilladoor/configuration/TargetsFile.java
+++ b/src/main/java/org/vanilladoor/configuration/TargetsFile.java
@@ -4,6 +4,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.vanilladoor.allowance.Allowance;
+import org.vanilladoor.allowance.AllowanceUnit;
 import org.vanilladoor.settings.TomlSection;
 
 /**
@@ -22,6 +24,8 @@
     private static final int DEFAULT_DEADLINE_MILLIS = 60_000;
     private static final double DEFAULT_OBJECTIVE = 0.95;
     private static final double DEFAULT_SHARE = 1.0;
+    private static final double MAXIMUM_ALLOWANCE = 1e12;
+    private static final long DEFAULT_PLAIN_TOKENS = 200;
     private final TomlSection mRoot;
     private final Set<String> mClassNames = new HashSet<>();
 
@@ -97,11 +101,29 @@
                             section.number(
                                     "share", Double.MIN_NORMAL, MAXIMUM_SHARE, DEFAULT_SHARE),
                             existingClasses(section),
-                            section.flag("served_without_store", true)));
+                            section.flag("served_without_store", true),
+                            readAllowance(section)));
         }
         return teams;
     }
 
+    /** Returns the team's allowance, or null if its rate is zero or absent. */
+    private static Allowance readAllowance(TomlSection section) {
+        double rate = section.number("rate_per_second", 0, MAXIMUM_ALLOWANCE, 0);
+        double burst = section.number("burst", 0, MAXIMUM_ALLOWANCE, 0);
+        AllowanceUnit unit =
+                section.enumConstant("unit", AllowanceUnit.class, AllowanceUnit.REQUESTS);
+        long plainTokens =
+                section.integer("plain_tokens", 0, (long) MAXIMUM_ALLOWANCE, DEFAULT_PLAIN_TOKENS);
+        if (rate > 0) {
+            return new Allowance(unit, rate, burst > 0 ? burst : rate, plainTokens);
+        }
+        if (burst > 0) {
+            section.addFinding("burst", "has no effect without rate_per_second");
+        }
+        return null;
+    }
+
     private List<Model> readModels() {
         Set<String> names = new HashSet<>();
         List<Model> models = new ArrayList<>();
