--- a/src/main/java/org/vanilladoor/allowance/AllowanceAccount.java
+++ b/src/main/java/org/vanilladoor/allowance/AllowanceAccount.java
@@ -256,11 +256,13 @@
 
     /** The previous holder may go on counting this VM's share for a while. */
     private void followHolder(long term, long nowMillis) {
-        mTerm = term;
+        if (mTerm > 0) {
+            mLendFromMillis = mLentMillis + SHARE_FREE_MILLIS;
+            mCreditFromMillis = nowMillis + ADVANCE_VALIDITY_MILLIS;
+            mTeams.values().forEach(TeamAccount::dropReturned);
+        }
         mLends = false;
-        mLendFromMillis = mLentMillis + SHARE_FREE_MILLIS;
-        mCreditFromMillis = nowMillis + ADVANCE_VALIDITY_MILLIS;
-        mTeams.values().forEach(TeamAccount::dropReturned);
+        mTerm = term;
     }
 
     private void recordContact(SentRequest sent, long nowMillis) {
--- a/src/main/java/org/vanilladoor/allowance/AllowanceLedger.java
+++ b/src/main/java/org/vanilladoor/allowance/AllowanceLedger.java
@@ -36,7 +36,10 @@
     private static final long SETTLED_MILLIS = 14_000;
 
     private static final long FORGET_MILLIS = 30_000;
-    private static final long NO_FILL_RETRY_MILLIS = 1_000;
+
+    /** VMs lend their shares soon after they have found a new holder, so a request may wait. */
+    private static final long NO_FILL_RETRY_MILLIS = 200;
+
     private static final double MILLIS_PER_SECOND = 1_000;
     private final AllowanceTolerance mTolerance;
     private final long mTerm;
