Let VMs use their own shares from the start of the model on

Cause: a VM uses its own share from 16 s after it first knew the number of VMs. The scripts began after 4 s, so hardly any reached it, and the planted fault own-share-while-lent survived.

Change: the model's first VMs know their number at once, and the scripts begin after 17 s.

--- a/src/test/java/org/vanilladoor/allowance/AllowanceFuzzTests.java
+++ b/src/test/java/org/vanilladoor/allowance/AllowanceFuzzTests.java
@@ -18,7 +18,9 @@
     private static final int MAXIMUM_ACTION = 1_000_000;
     private static final long STEP_MILLIS = SimulatedAllowances.STEP_MILLIS;
     private static final int VMS = 8;
-    private static final long WARM_UP_MILLIS = 4_000;
+
+    /** By then the first VMs may use their own shares. */
+    private static final long WARM_UP_MILLIS = 17_000;
 
     @Property(tries = 1500, seed = "5101")
     void requestsStayWithinTheBound(
--- a/src/test/java/org/vanilladoor/allowance/SimulatedAllowances.java
+++ b/src/test/java/org/vanilladoor/allowance/SimulatedAllowances.java
@@ -54,6 +54,7 @@
         }
         mPublishedCount = living;
         mVms.subList(0, living).forEach(SimulatedVm::start);
+        mVms.subList(0, living).forEach(vm -> vm.mAccount.setVmCount(living));
         takeOver(vm(0), 0, 0);
     }
 
