--- a/src/test/java/org/vanilladoor/platform/AllowanceProcessTests.java
+++ b/src/test/java/org/vanilladoor/platform/AllowanceProcessTests.java
@@ -41,6 +41,55 @@
         }
     }
 
+    /** An advance that one VM no longer needs must be at another one's disposal soon. */
+    @Test
+    void demandThatMovesBetweenVmsWithinASecondIsServed() throws Exception {
+        String tokens = "\"rate_per_s\":29000,\"burst\":29000,\"unit\":\"tokens\"";
+        try (AllowanceFleet fleet = AllowanceFleet.start(VMS, tokens)) {
+            fleet.awaitExchange();
+            List<HostPort> vms = fleet.vms().stream().map(SoakVm::callerAddress).toList();
+            Supplier<HostPort> moving =
+                    () -> vms.get((int) (System.currentTimeMillis() / 700 % vms.size()));
+            // 110 requests of 200 tokens a second are three quarters of the rate.
+            try (PacedCallers callers =
+                    PacedCallers.start(
+                            AllowanceFleet.KEY,
+                            "Vanilladoor-Token-Count: 150,50\r\n",
+                            110,
+                            moving)) {
+                Thread.sleep(20_000);
+                List<PacedCallers.Sent> sent = callers.sentBetween(0, Long.MAX_VALUE);
+                report("moving", sent);
+                assertThat(share(sent, each -> each.status() == 429)).isLessThan(0.001);
+            }
+        }
+    }
+
+    /** A suspended VM must not use an advance that has expired, nor a holder grant again. */
+    @Test
+    void suspendedProcessesKeepTheBound() throws Exception {
+        try (AllowanceFleet fleet = AllowanceFleet.start(VMS, ALLOWANCE)) {
+            fleet.awaitExchange();
+            SoakVm holder = fleet.holder().orElseThrow();
+            SoakVm other = nonHolder(fleet);
+            try (PacedCallers callers = callers(3 * RATE, fleet::nextVm)) {
+                Thread.sleep(3_000);
+                other.signal("STOP");
+                Thread.sleep(3_000);
+                other.signal("CONT");
+                Thread.sleep(3_000);
+                holder.signal("STOP");
+                Thread.sleep(8_000);
+                holder.signal("CONT");
+                Thread.sleep(10_000);
+                List<PacedCallers.Sent> sent = callers.sentBetween(0, Long.MAX_VALUE);
+                report("suspended", sent);
+                checkBound(fleet, sent, RATE);
+                assertThat(served(sent)).isAtLeast((long) (0.5 * RATE * 27));
+            }
+        }
+    }
+
     /** Each VM alone would admit the whole allowance if it did not know of the others. */
     @Test
     void aTeamOverItsAllowanceIsRefusedWith429AndTheRestIsServed() throws Exception {
@@ -258,6 +307,11 @@
         sent.forEach(each -> counts.merge(each.status(), 1L, Long::sum));
         long first = sent.stream().mapToLong(PacedCallers.Sent::atMillis).min().orElse(0);
         long last = sent.stream().mapToLong(PacedCallers.Sent::atMillis).max().orElse(0);
-        System.out.printf("%s: %s in %d ms%n", what, counts, last - first);
+        long[] took = sent.stream().mapToLong(PacedCallers.Sent::tookMillis).sorted().toArray();
+        long median = took.length == 0 ? 0 : took[took.length / 2];
+        long late = took.length == 0 ? 0 : took[took.length * 99 / 100];
+        System.out.printf(
+                "%s: %s in %d ms; 50 %% within %d ms, 99 %% within %d ms%n",
+                what, counts, last - first, median, late);
     }
 }
