--- a/src/test/java/org/vanilladoor/allowance/AllowanceFaultTests.java
+++ b/src/test/java/org/vanilladoor/allowance/AllowanceFaultTests.java
@@ -31,6 +31,21 @@
         assertWithinBound();
     }
 
+    /** Guards against shares that are used twice for a short time at each of many losses. */
+    @ParameterizedTest
+    @ValueSource(ints = {700, 1_000, 1_500, 2_500})
+    void vmsThatAreCutOffAgainAndAgainUseNoShareTwice(int cutOffMillis) {
+        beginToSend();
+        List<SimulatedVm> others = mFleet.vms().subList(1, VMS);
+        for (int i = 0; i < 15; i++) {
+            others.forEach(vm -> vm.setLosses(true, true, false));
+            mFleet.advance(cutOffMillis);
+            others.forEach(vm -> vm.setLosses(false, false, false));
+            mFleet.advance(300);
+        }
+        assertWithinBound();
+    }
+
     /** Guards against a holder that counts VMs which get no replies and so use their own shares. */
     @ParameterizedTest
     @ValueSource(ints = {1, 3, 5, 7})
