--- a/src/main/java/org/vanilladoor/exchange/HolderLink.java
+++ b/src/main/java/org/vanilladoor/exchange/HolderLink.java
@@ -45,6 +45,10 @@
     private boolean mAwaitsReply;
     private long mSentMillis;
     private boolean mAnswered;
+
+    /** When the first request without a reply was to be sent; 0 if the last one has a reply. */
+    private long mSilentSinceMillis;
+
     private long mReadMillis = Long.MIN_VALUE / 2;
 
     HolderLink(
@@ -64,9 +68,12 @@
 
     /** Sends a request to the holder; without its address the request is dropped. */
     void send(FrameLoop loop, GrantRequest request) {
+        long nowMillis = MonotonicClock.nowMillis();
+        if (mSilentSinceMillis == 0) {
+            mSilentSinceMillis = nowMillis;
+        }
         Optional<HostPort> address = mFleet.holderExchange();
         if (address.isEmpty() || mSecret.value().isEmpty()) {
-            mAnswered = false;
             return;
         }
         if (!address.equals(mAddress)) {
@@ -78,7 +85,7 @@
         }
         if (!mAwaitsReply) {
             mAwaitsReply = true;
-            mSentMillis = MonotonicClock.nowMillis();
+            mSentMillis = nowMillis;
         }
         mMetrics.countSentHeartbeat();
         mConnection.send(FleetMessages.encode(new Heartbeat(mSecret.value().get(), request)));
@@ -92,9 +99,9 @@
             lose("no reply for " + REPLY_TIMEOUT_MILLIS + " ms");
         }
         boolean isDue =
-                !mAnswered
-                        && nowMillis - mReadMillis >= READ_INTERVAL_MILLIS
-                        && nowMillis - mSentMillis >= READ_INTERVAL_MILLIS;
+                mSilentSinceMillis != 0
+                        && nowMillis - mSilentSinceMillis >= READ_INTERVAL_MILLIS
+                        && nowMillis - mReadMillis >= READ_INTERVAL_MILLIS;
         if (isDue) {
             mReadMillis = nowMillis;
             mFleet.readHolderExchange();
@@ -106,6 +113,7 @@
 
     /** Closes the connection, if there is one. */
     void drop() {
+        mAnswered = false;
         mAwaitsReply = false;
         if (mConnection != null) {
             FrameConnection connection = mConnection;
@@ -134,7 +142,6 @@
                     "reason",
                     reason);
         }
-        mAnswered = false;
         drop();
     }
 
@@ -154,6 +161,7 @@
                         granted.reply().term());
             }
             mAnswered = true;
+            mSilentSinceMillis = 0;
             mReceiver.accept(granted.reply());
         } else if (response instanceof HeartbeatResponse.Refused refused) {
             if (refused.reason() == HeartbeatResponse.Reason.WRONG_SECRET) {
