Test that callers who read nothing or connect without end leave a serving process

Clients outside the limits can leave a process that lives and serves nothing, or end it: heads, requests that were read ahead, unread responses and connections are held without a bound.

--- a/src/test/java/org/vanilladoor/command/ProgramProcess.java
+++ b/src/test/java/org/vanilladoor/command/ProgramProcess.java
@@ -2,10 +2,13 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /**
  * Runs the program in a separate process, which a test can kill, terminate, suspend and resume.
@@ -32,6 +35,10 @@
     public static ProgramProcess start(
             List<String> options, List<String> arguments, File log, boolean logsStandardOutput)
             throws IOException {
+        return start(javaCommandLine(options, arguments), log, logsStandardOutput);
+    }
+
+    private static List<String> javaCommandLine(List<String> options, List<String> arguments) {
         List<String> commandLine = new ArrayList<>();
         commandLine.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         commandLine.add("-XX:+UseSerialGC");
@@ -41,6 +48,11 @@
         commandLine.add(System.getProperty("java.class.path"));
         commandLine.add(Main.class.getName());
         commandLine.addAll(arguments);
+        return commandLine;
+    }
+
+    private static ProgramProcess start(
+            List<String> commandLine, File log, boolean logsStandardOutput) throws IOException {
         ProcessBuilder.Redirect logRedirect = ProcessBuilder.Redirect.appendTo(log);
         ProcessBuilder.Redirect outputRedirect =
                 logsStandardOutput ? logRedirect : ProcessBuilder.Redirect.DISCARD;
@@ -51,10 +63,49 @@
                         .start());
     }
 
+    /**
+     * Starts the program with a lowered limit of file descriptors, which applies to its process
+     * only. Otherwise as {@link #start}.
+     */
+    public static ProgramProcess startWithDescriptorLimit(
+            int descriptors, List<String> options, List<String> arguments, File log)
+            throws IOException {
+        List<String> commandLine = new ArrayList<>();
+        commandLine.addAll(
+                List.of("bash", "-c", "ulimit -n " + descriptors + "; exec \"$@\"", "bash"));
+        commandLine.addAll(javaCommandLine(options, arguments));
+        return start(commandLine, log, true);
+    }
+
     public boolean isRunning() {
         return mProcess.isAlive();
     }
 
+    /** Returns the largest resident memory that the process has had, or 0 if it has ended. */
+    public long peakMemoryBytes() {
+        try (Stream<String> lines = Files.lines(ownDirectory().resolve("status"))) {
+            return lines.filter(line -> line.startsWith("VmHWM:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024)
+                    .findFirst()
+                    .orElse(0);
+        } catch (IOException | UncheckedIOException e) {
+            return 0;
+        }
+    }
+
+    /** Returns the number of open file descriptors of the process, or 0 if it has ended. */
+    public int openDescriptors() {
+        try (Stream<Path> descriptors = Files.list(ownDirectory().resolve("fd"))) {
+            return (int) descriptors.count();
+        } catch (IOException | UncheckedIOException e) {
+            return 0;
+        }
+    }
+
+    private Path ownDirectory() {
+        return Path.of("/proc", Long.toString(mProcess.pid()));
+    }
+
     /** Kills the process and waits until it has exited, at most 60 s. */
     public void kill() {
         mProcess.destroyForcibly();
--- a/src/test/java/org/vanilladoor/entry/EntryProcess.java
+++ b/src/test/java/org/vanilladoor/entry/EntryProcess.java
@@ -43,6 +43,31 @@
         return new EntryProcess(process, callerAddress, operatorAddress);
     }
 
+    /**
+     * Starts an entry whose process has a lowered limit of file descriptors.
+     *
+     * @param options options of the JVM
+     */
+    static EntryProcess startWithDescriptorLimit(
+            EntrySettings settings, int descriptors, List<String> options) throws IOException {
+        HostPort callerAddress = FreePorts.find(1).get(0);
+        HostPort operatorAddress = FreePorts.find(1).get(0);
+        Path file = Files.createTempFile("entry-", ".toml");
+        Files.writeString(file, toml(settings, callerAddress, operatorAddress));
+        ProgramProcess process =
+                ProgramProcess.startWithDescriptorLimit(
+                        descriptors,
+                        options,
+                        List.of("entry", "--settings", file.toString()),
+                        Path.of("target", "uncontrolled-callers-entry.log").toFile());
+        return new EntryProcess(process, callerAddress, operatorAddress);
+    }
+
+    /** Returns the process. */
+    ProgramProcess process() {
+        return mProcess;
+    }
+
     HostPort callerAddress() {
         return mCallerAddress;
     }
