Bound the callers' connections by the descriptors that the VM allows

Cause: HttpCore accepts whatever arrives. The first accept that failed for lack of descriptors ended its accepting thread, and the process refused every connection from then on.

HttpCore asks after each accept which worker takes the connection; the accepting thread now waits there while no room is left, so that further connections stay in the system's queue. While a connection waits, the one that is the first to go is closed: without a request for 100 ms, a response unread for 1 s, idle for 12 s, or with requests sent ahead. FrontServer.isRunning now also sees an accepting thread that has ended, of the operators' port as well, so that ServeProcess.maintain ends such a process.

--- a/src/main/java/org/vanilladoor/platform/PlatformSettings.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformSettings.java
@@ -24,6 +24,7 @@
  * @param drainNoticeMillis time in which a leaving endpoint has to be noticed
  * @param leaseTurnMillis shortest time in which two VMs may act for the fleet by turns
  * @param graceMillis time from the signal to stop until the platform kills the process
+ * @param maximumDescriptors file descriptors that the VM allows the process
  */
 public record PlatformSettings(
         String vmName,
@@ -38,7 +39,8 @@
         long usageWindowMillis,
         long drainNoticeMillis,
         long leaseTurnMillis,
-        long graceMillis) {
+        long graceMillis,
+        int maximumDescriptors) {
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final int MAXIMUM_VALUE = 1_000_000_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -85,8 +87,10 @@
                         (long)
                                 bounds.number(
                                         "lease_ms", 0, MAXIMUM_VALUE, DEFAULT_LEASE_TURN_MILLIS),
-                        toMillis(
-                                bounds.number("grace_s", 0, MAXIMUM_VALUE, DEFAULT_GRACE_SECONDS)));
+                        toMillis(bounds.number("grace_s", 0, MAXIMUM_VALUE, DEFAULT_GRACE_SECONDS)),
+                        (int)
+                                root.section("limits")
+                                        .number("max_fds", 1, MAXIMUM_VALUE, MAXIMUM_VALUE));
         root.throwIfInvalidIgnoringUnknownKeys();
         return settings;
     }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -143,9 +143,17 @@
                                 retryBudgets(settings), leaderTasks, leaderTasks, mMemory, metrics),
                         random);
         startFeeds(store, directory, pollInterval, news, random);
-        mCallerServer = startServer(settings.callerAddress(), mGateway::handle);
+        mCallerServer =
+                startServer(
+                        settings.callerAddress(),
+                        DescriptorLimits.of(settings.maximumDescriptors()).callerConnections(),
+                        mGateway::handle);
         mMetricsPage = MetricsPage.create(registry, mMemory);
-        mOperatorServer = startServer(settings.readinessAddress(), this::respondToOperator);
+        mOperatorServer =
+                startServer(
+                        settings.readinessAddress(),
+                        DescriptorLimits.OPERATOR_CONNECTIONS,
+                        this::respondToOperator);
         tryListenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
         mControl.scheduleWithFixedDelay(
                 MAINTENANCE_INTERVAL, () -> maintain(directory, placement, news));
@@ -245,10 +253,12 @@
         return nowMillis < deadlineMillis && (isAcceptingOrRefusing || mGateway.openRequests() > 0);
     }
 
-    private FrontServer startServer(HostPort address, Consumer<FrontExchange> receiver)
+    private FrontServer startServer(
+            HostPort address, int maximumConnections, Consumer<FrontExchange> receiver)
             throws IOException {
         return FrontServer.start(
                 address,
+                maximumConnections,
                 mControl,
                 mMemory,
                 MAXIMUM_HEADER_LINE_BYTES,
@@ -299,7 +309,10 @@
         placement.removeUnlisted();
         mConnections.closeIdle();
         boolean isBroken =
-                !mState.isStopping() && !(mCallerServer.isRunning() && mConnections.isRunning());
+                !mState.isStopping()
+                        && !(mCallerServer.isRunning()
+                                && mOperatorServer.isRunning()
+                                && mConnections.isRunning());
         if (isBroken) {
             // Lets the platform start a new process, since this one can no longer serve.
             EventLog.write("process", "broken", "callers", mCallerServer.isRunning());
--- /dev/null
+++ b/src/main/java/org/vanilladoor/transport/CallerActivity.java
@@ -0,0 +1,112 @@
+package org.vanilladoor.transport;
+
+import java.util.Comparator;
+import java.util.Optional;
+
+/**
+ * What a caller's connection has done, which decides whether it is closed when there is no room for
+ * a further one.
+ *
+ * <p>Invariant: a connection with a request that its caller waits for, or one that was kept after a
+ * response for less than {@value #MAXIMUM_KEPT_MILLIS} ms, is not closed. Safe for use by any
+ * thread.
+ */
+final class CallerActivity {
+    /** Time that a caller has for its first request when there is no room for others. */
+    private static final long FIRST_REQUEST_MILLIS = 100;
+
+    /** Time without progress after which the rest of a response counts as unread. */
+    private static final long UNREAD_MILLIS = 1_000;
+
+    /** Callers keep a connection idle for up to four fifths of the 15 s that are allowed. */
+    private static final long MAXIMUM_KEPT_MILLIS = 12_000;
+
+    private boolean mHasRequested;
+    private boolean mRequestOpen;
+    private boolean mReadAhead;
+    private boolean mStuck;
+    private long mSinceMillis;
+
+    private CallerActivity(long nowMillis) {
+        mSinceMillis = nowMillis;
+    }
+
+    /** Returns the activity of a connection that has just been opened. */
+    static CallerActivity openedAt(long nowMillis) {
+        return new CallerActivity(nowMillis);
+    }
+
+    synchronized void startRequest(long nowMillis) {
+        mHasRequested = true;
+        mRequestOpen = true;
+        mSinceMillis = nowMillis;
+    }
+
+    synchronized void completeResponse(long nowMillis) {
+        mRequestOpen = false;
+        mStuck = false;
+        mSinceMillis = nowMillis;
+    }
+
+    /** Records whether a part of a further request was read before the open one has ended. */
+    synchronized void setReadAhead(boolean readAhead) {
+        mReadAhead = readAhead;
+    }
+
+    /**
+     * Records an attempt to write.
+     *
+     * @param count number of bytes that the connection took
+     * @param complete whether these were all
+     */
+    synchronized void recordWrite(int count, boolean complete, long nowMillis) {
+        if (complete) {
+            mStuck = false;
+        } else if (count > 0 || !mStuck) {
+            mStuck = true;
+            mSinceMillis = nowMillis;
+        }
+    }
+
+    /** Returns the reason to close the connection if there is no room; empty if there is none. */
+    synchronized Optional<Candidate> candidate(long nowMillis) {
+        long ageMillis = nowMillis - mSinceMillis;
+        if (!mHasRequested) {
+            return candidateIf(ageMillis >= FIRST_REQUEST_MILLIS, Reason.NO_REQUEST);
+        }
+        if (mStuck) {
+            return candidateIf(ageMillis >= UNREAD_MILLIS, Reason.UNREAD_RESPONSE);
+        }
+        if (mRequestOpen) {
+            return candidateIf(mReadAhead, Reason.REQUEST_SENT_AHEAD);
+        }
+        return candidateIf(ageMillis >= MAXIMUM_KEPT_MILLIS, Reason.IDLE);
+    }
+
+    private Optional<Candidate> candidateIf(boolean condition, Reason reason) {
+        return condition ? Optional.of(new Candidate(reason, mSinceMillis)) : Optional.empty();
+    }
+
+    /** Reasons to close a connection, the one that is applied first at the top. */
+    enum Reason {
+        NO_REQUEST,
+        UNREAD_RESPONSE,
+        IDLE,
+        REQUEST_SENT_AHEAD
+    }
+
+    /**
+     * A connection that may be closed.
+     *
+     * @param sinceMillis time since which the reason has applied
+     */
+    record Candidate(Reason reason, long sinceMillis) implements Comparable<Candidate> {
+        private static final Comparator<Candidate> ORDER =
+                Comparator.comparing(Candidate::reason).thenComparing(Candidate::sinceMillis);
+
+        @Override
+        public int compareTo(Candidate other) {
+            return ORDER.compare(this, other);
+        }
+    }
+}
--- a/src/main/java/org/vanilladoor/transport/CallerSessions.java
+++ b/src/main/java/org/vanilladoor/transport/CallerSessions.java
@@ -2,8 +2,10 @@
 
 import java.net.SocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
 
@@ -19,10 +21,37 @@
     /** Decorates a session with the detection of a close by the caller. */
     IOSession decorate(IOSession session) {
         CloseDetectingSession decorated = CloseDetectingSession.of(session);
-        mSessions.put(session.getRemoteAddress(), decorated);
+        SocketAddress address = session.getRemoteAddress();
+        // A caller that has already left may have no address; its session ends by itself.
+        if (address != null) {
+            mSessions.put(address, decorated);
+        }
         return decorated;
     }
 
+    /**
+     * Closes the connection that is the first to go when there is no room, if there is one.
+     *
+     * @return why it was closed
+     */
+    Optional<CallerActivity.Candidate> closeFirstCandidate(long nowMillis) {
+        CloseDetectingSession first = null;
+        Optional<CallerActivity.Candidate> lowest = Optional.empty();
+        for (CloseDetectingSession session : mSessions.values()) {
+            Optional<CallerActivity.Candidate> candidate =
+                    session.isOpen() ? session.activity().candidate(nowMillis) : Optional.empty();
+            if (candidate.isPresent()
+                    && (lowest.isEmpty() || candidate.get().compareTo(lowest.get()) < 0)) {
+                first = session;
+                lowest = candidate;
+            }
+        }
+        if (first != null) {
+            first.close(CloseMode.IMMEDIATE);
+        }
+        return lowest;
+    }
+
     CloseDetectingSession find(HttpConnection connection) {
         return mSessions.get(connection.getRemoteAddress());
     }
--- a/src/main/java/org/vanilladoor/transport/CloseDetectingSession.java
+++ b/src/main/java/org/vanilladoor/transport/CloseDetectingSession.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
+import org.vanilladoor.common.MonotonicClock;
 
 /**
  * Decorates the I/O session of a caller and reports immediately when the caller closes its side.
@@ -20,6 +21,7 @@
  */
 final class CloseDetectingSession implements IOSession {
     private final IOSession mSession;
+    private final CallerActivity mActivity = CallerActivity.openedAt(MonotonicClock.nowMillis());
     private volatile Runnable mOnCallerClosed = () -> {};
 
     private CloseDetectingSession(IOSession session) {
@@ -30,6 +32,11 @@
         return new CloseDetectingSession(session);
     }
 
+    /** Returns what the connection has done. */
+    CallerActivity activity() {
+        return mActivity;
+    }
+
     /** Sets the action to run when the caller closes its side; replaces the previous action. */
     void onCallerClosed(Runnable action) {
         mOnCallerClosed = action;
@@ -48,7 +55,9 @@
 
     @Override
     public int write(ByteBuffer source) throws IOException {
-        return mSession.write(source);
+        int count = mSession.write(source);
+        mActivity.recordWrite(count, !source.hasRemaining(), MonotonicClock.nowMillis());
+        return count;
     }
 
     @Override
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -40,6 +40,7 @@
     private static final Timeout IDLE_TIMEOUT = Timeout.ofSeconds(120);
 
     private static final int MAXIMUM_HEADERS = 200;
+    private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
     private static final int ACCEPT_BACKLOG = 512;
     private static final int LISTEN_TIMEOUT_SECONDS = 10;
 
@@ -50,11 +51,19 @@
     private final HttpAsyncServer mServer;
     private final HostPort mAddress;
     private final AtomicInteger mOpenExchanges;
+    private final CallerConnectionLimit mConnectionLimit;
+    private final AtomicInteger mListeners = new AtomicInteger();
 
-    private FrontServer(HttpAsyncServer server, HostPort address, AtomicInteger openExchanges) {
+    private FrontServer(
+            HttpAsyncServer server,
+            HostPort address,
+            AtomicInteger openExchanges,
+            CallerConnectionLimit connectionLimit)
+            throws IOException {
         mServer = server;
-        mAddress = address;
         mOpenExchanges = openExchanges;
+        mConnectionLimit = connectionLimit;
+        mAddress = listen(address);
     }
 
     /**
@@ -76,8 +85,34 @@
             IntSupplier maximumBodyBytes,
             Consumer<FrontExchange> receiver)
             throws IOException {
-        CurrentConnection current = new CurrentConnection();
+        return start(
+                address,
+                DEFAULT_MAXIMUM_CONNECTIONS,
+                control,
+                memory,
+                maximumHeaderLineBytes,
+                maximumBodyBytes,
+                receiver);
+    }
+
+    /**
+     * Starts a server with a limit of connections.
+     *
+     * @param maximumConnections connections that may be open; further ones wait until there is room
+     * @see #start(HostPort, ControlLoop, MemoryBudget, int, IntSupplier, Consumer)
+     */
+    public static FrontServer start(
+            HostPort address,
+            int maximumConnections,
+            ControlLoop control,
+            MemoryBudget memory,
+            int maximumHeaderLineBytes,
+            IntSupplier maximumBodyBytes,
+            Consumer<FrontExchange> receiver)
+            throws IOException {
         CallerSessions sessions = new CallerSessions();
+        CurrentConnection current = new CurrentConnection(sessions);
+        CallerConnectionLimit limit = CallerConnectionLimit.of(maximumConnections, sessions);
         AtomicInteger openExchanges = new AtomicInteger();
         Http1Config config =
                 Http1Config.custom()
@@ -102,10 +137,10 @@
                         e -> LOG.debug("front: A connection failed: {}.", e.toString()),
                         sessions,
                         null,
-                        null,
+                        limit,
                         null);
         server.start();
-        return new FrontServer(server, listen(server, address), openExchanges);
+        return new FrontServer(server, address, openExchanges, limit);
     }
 
     /** Returns the address that the server listens on. */
@@ -119,12 +154,17 @@
      * @throws IOException if the address can't be listened on
      */
     public void alsoListen(HostPort address) throws IOException {
-        listen(mServer, address);
+        listen(address);
     }
 
-    /** Returns whether the server still accepts requests. */
+    /**
+     * Returns whether the server still accepts requests; it does not if a thread of HttpCore has
+     * ended, which closes what it listens on.
+     */
     public boolean isRunning() {
-        return mServer.getStatus() == IOReactorStatus.ACTIVE;
+        return mServer.getStatus() == IOReactorStatus.ACTIVE
+                && mServer.getEndpoints().stream().filter(each -> !each.isClosed()).count()
+                        == mListeners.get();
     }
 
     /** Returns the number of requests whose head was read and whose response is not complete. */
@@ -144,6 +184,7 @@
             while (openExchanges() > 0 && MonotonicClock.nowMillis() < deadlineMillis) {
                 Thread.sleep(STOP_CHECK_INTERVAL_MILLIS);
             }
+            mConnectionLimit.end();
             mServer.initiateShutdown();
             long remainingMillis = deadlineMillis - MonotonicClock.nowMillis();
             mServer.awaitShutdown(TimeValue.ofMilliseconds(Math.max(0, remainingMillis)));
@@ -156,6 +197,7 @@
     /** Closes all connections. */
     @Override
     public void close() {
+        mConnectionLimit.end();
         mServer.close(CloseMode.IMMEDIATE);
     }
 
@@ -170,11 +212,12 @@
                 .build();
     }
 
-    private static HostPort listen(HttpAsyncServer server, HostPort address) throws IOException {
+    private HostPort listen(HostPort address) throws IOException {
         try {
             ListenerEndpoint endpoint =
-                    server.listen(address.toSocketAddress(), URIScheme.HTTP)
+                    mServer.listen(address.toSocketAddress(), URIScheme.HTTP)
                             .get(LISTEN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            mListeners.incrementAndGet();
             int port = ((InetSocketAddress) endpoint.getAddress()).getPort();
             return new HostPort(address.host(), port);
         } catch (ExecutionException e) {
@@ -194,11 +237,17 @@
      * requests its handler. Confined to that thread.
      */
     private static final class CurrentConnection implements Http1StreamListener {
+        private final CallerSessions mSessions;
         private HttpConnection mConnection;
 
+        CurrentConnection(CallerSessions sessions) {
+            mSessions = sessions;
+        }
+
         @Override
         public void onRequestHead(HttpConnection connection, HttpRequest request) {
             mConnection = connection;
+            mSessions.find(connection).activity().startRequest(MonotonicClock.nowMillis());
         }
 
         @Override
@@ -208,7 +257,7 @@
 
         @Override
         public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
-            // Not used.
+            mSessions.find(connection).activity().completeResponse(MonotonicClock.nowMillis());
         }
     }
 }
