Read a caller's next request only once the response to the one before has been written

Cause: HttpCore reads on while a response is pending. Each request that was sent ahead became a head, a task of the control thread and a response that waited unread, without a bound; the I/O threads ran out of memory.

RequestGate keeps the parser from starting a request until the response before has been flushed to the socket. At most one input buffer (8 KiB) is read ahead; the rest stays in the system's buffers, so that TCP slows the caller down. Hence a connection has one task of the control thread, one head and one response at a time, and the queue of that thread is bounded by the number of connections. What a head takes beyond 4 KiB is charged to MemoryBudget (REQUEST_HEAD) while it arrives; without room its connection is closed. Pipelined requests of callers inside the limits are served one after the other, as before.

FrontServer-, FrontExchange-, RequestMemory-, RequestFraming-, ErrorBarrier-, EarlyResponse-, Gateway- and PackageRulesTests pass.

--- a/src/main/java/org/vanilladoor/common/MemoryBudget.java
+++ b/src/main/java/org/vanilladoor/common/MemoryBudget.java
@@ -88,6 +88,8 @@
 
     /** What memory is held for. */
     public enum Use {
+        /** Heads of callers' requests, until the responses have been written. */
+        REQUEST_HEAD,
         /** Bodies of callers' requests, until the requests have ended. */
         REQUEST_BODY,
         /** Parts of responses that the control thread has not handled. */
--- a/src/main/java/org/vanilladoor/transport/CallerDuplexer.java
+++ b/src/main/java/org/vanilladoor/transport/CallerDuplexer.java
@@ -9,7 +9,6 @@
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
-import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
@@ -36,7 +35,7 @@
             HttpProcessor processor,
             HandlerFactory<AsyncServerExchangeHandler> exchanges,
             Http1Config config,
-            Http1StreamListener listener) {
+            RequestGate gate) {
         super(
                 session,
                 processor,
@@ -45,11 +44,11 @@
                 config,
                 CharCodingConfig.DEFAULT,
                 DefaultConnectionReuseStrategy.INSTANCE,
-                RequestParser.create(config),
+                RequestParser.create(config, gate),
                 DefaultHttpResponseWriterFactory.INSTANCE.create(),
                 DefaultContentLengthStrategy.INSTANCE,
                 DefaultContentLengthStrategy.INSTANCE,
-                listener,
+                gate,
                 e -> LOG.debug("front: A request failed: {}.", e.toString()));
         mConfig = config;
     }
@@ -59,8 +58,8 @@
             HttpProcessor processor,
             HandlerFactory<AsyncServerExchangeHandler> exchanges,
             Http1Config config,
-            Http1StreamListener listener) {
-        return new CallerDuplexer(session, processor, exchanges, config, listener);
+            RequestGate gate) {
+        return new CallerDuplexer(session, processor, exchanges, config, gate);
     }
 
     @Override
--- a/src/main/java/org/vanilladoor/transport/CallerSessions.java
+++ b/src/main/java/org/vanilladoor/transport/CallerSessions.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.vanilladoor.common.MonotonicClock;
 
 /**
  * The I/O sessions of callers' connections, by the caller's address.
@@ -52,6 +53,14 @@
         return lowest;
     }
 
+    /** Returns what the connection from an address has done; nothing if it has already ended. */
+    CallerActivity activityAt(SocketAddress address) {
+        CloseDetectingSession session = address == null ? null : mSessions.get(address);
+        return session == null
+                ? CallerActivity.openedAt(MonotonicClock.nowMillis())
+                : session.activity();
+    }
+
     CloseDetectingSession find(HttpConnection connection) {
         return mSessions.get(connection.getRemoteAddress());
     }
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -111,7 +111,7 @@
             Consumer<FrontExchange> receiver)
             throws IOException {
         CallerSessions sessions = new CallerSessions();
-        CurrentConnection current = new CurrentConnection(sessions);
+        CurrentConnection current = new CurrentConnection();
         CallerConnectionLimit limit = CallerConnectionLimit.of(maximumConnections, sessions);
         AtomicInteger openExchanges = new AtomicInteger();
         Http1Config config =
@@ -131,7 +131,9 @@
                                                 maximumBodyBytes.getAsInt(),
                                                 receiver,
                                                 openExchanges),
-                                current),
+                                current,
+                                sessions,
+                                memory),
                         reactorConfig(),
                         sessions::decorate,
                         e -> LOG.debug("front: A connection failed: {}.", e.toString()),
@@ -237,17 +239,11 @@
      * requests its handler. Confined to that thread.
      */
     private static final class CurrentConnection implements Http1StreamListener {
-        private final CallerSessions mSessions;
         private HttpConnection mConnection;
 
-        CurrentConnection(CallerSessions sessions) {
-            mSessions = sessions;
-        }
-
         @Override
         public void onRequestHead(HttpConnection connection, HttpRequest request) {
             mConnection = connection;
-            mSessions.find(connection).activity().startRequest(MonotonicClock.nowMillis());
         }
 
         @Override
@@ -257,7 +253,7 @@
 
         @Override
         public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
-            mSessions.find(connection).activity().completeResponse(MonotonicClock.nowMillis());
+            // Not used.
         }
     }
 }
--- a/src/main/java/org/vanilladoor/transport/HeadInput.java
+++ b/src/main/java/org/vanilladoor/transport/HeadInput.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
+import java.util.function.LongPredicate;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
@@ -19,13 +21,31 @@
     static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
     private static final int LINE_END_BYTES = 2;
+
+    /** About what HttpCore allocates for a line beside its characters of two bytes each. */
+    private static final int LINE_OBJECT_BYTES = 256;
+
+    private static final int CHARACTER_BYTES = 2;
+    private final LongPredicate mRoom;
     private SessionInputBuffer mBuffer;
     private int mHeadBytes;
+    private int mLines;
 
-    private HeadInput() {}
+    private HeadInput(LongPredicate room) {
+        mRoom = room;
+    }
 
     static HeadInput create() {
-        return new HeadInput();
+        return charging(bytes -> true);
+    }
+
+    /**
+     * Returns an input that charges what a head takes.
+     *
+     * @param room whether a head may take that many bytes
+     */
+    static HeadInput charging(LongPredicate room) {
+        return new HeadInput(room);
     }
 
     /** Returns this object, which reads from the given buffer from now on. */
@@ -37,6 +57,7 @@
     /** Begins a further head. */
     void reset() {
         mHeadBytes = 0;
+        mLines = 0;
     }
 
     @Override
@@ -47,9 +68,19 @@
         if (mHeadBytes > MAXIMUM_HEAD_BYTES) {
             throw new MessageConstraintException("the head is too large");
         }
+        if (isComplete) {
+            mLines++;
+        }
+        if (line.length() > lengthBefore && !mRoom.test(heldBytes())) {
+            throw new ConnectionClosedException("there is no memory for the head");
+        }
         return isComplete;
     }
 
+    private long heldBytes() {
+        return CHARACTER_BYTES * (long) mHeadBytes + LINE_OBJECT_BYTES * (long) mLines;
+    }
+
     @Override
     public int length() {
         return mBuffer.length();
--- a/src/main/java/org/vanilladoor/transport/RequestParser.java
+++ b/src/main/java/org/vanilladoor/transport/RequestParser.java
@@ -17,16 +17,20 @@
  */
 final class RequestParser implements NHttpMessageParser<HttpRequest> {
     private final NHttpMessageParser<HttpRequest> mParser;
-    private final HeadInput mInput = HeadInput.create();
+    private final RequestGate mGate;
+    private final HeadInput mInput;
 
-    private RequestParser(NHttpMessageParser<HttpRequest> parser) {
+    private RequestParser(NHttpMessageParser<HttpRequest> parser, RequestGate gate) {
         mParser = parser;
+        mGate = gate;
+        mInput = HeadInput.charging(gate::tryHoldHead);
     }
 
-    static RequestParser create(Http1Config config) {
+    static RequestParser create(Http1Config config, RequestGate gate) {
         return new RequestParser(
                 new DefaultHttpRequestParser<>(
-                        config, RequestLineParser.STRICT, DefaultHttpRequestFactory.INSTANCE));
+                        config, RequestLineParser.STRICT, DefaultHttpRequestFactory.INSTANCE),
+                gate);
     }
 
     @Override
@@ -38,6 +42,10 @@
     @Override
     public HttpRequest parse(SessionInputBuffer buffer, boolean endOfStream)
             throws IOException, HttpException {
+        if (mGate.isClosed()) {
+            mGate.setHasInput(buffer.hasData());
+            return null;
+        }
         HttpRequest head = mParser.parse(mInput.of(buffer), endOfStream);
         if (head != null) {
             mInput.reset();
