Bound the connections to endpoints by descriptors, and end a process one of whose threads has ended

An I/O thread of outgoing connections that had ended was not noticed: HttpCore reports it to the next connect only, and the process went on refusing with "I/O reactor has been shut down".

The descriptors beside 200 for files and 32 for operators are divided: 0.4 for callers (734 at 2,069), 0.6 for outgoing connections (1,102), so that calls to the platform find room when each caller has one to an endpoint. A full pool closes its oldest idle connection. A shut-down reactor makes ConnectionPool.isRunning false, which ends the process.

--- a/src/main/java/org/vanilladoor/command/ServeCommand.java
+++ b/src/main/java/org/vanilladoor/command/ServeCommand.java
@@ -45,6 +45,7 @@
             throw new UsageException("Neither --settings nor " + SETTINGS_VARIABLE + " is given");
         }
         PlatformSettings settings = PlatformSettings.parse(file, CommandArguments.readFile(file));
+        ThreadFailures.endProcess();
         ServeProcess process = ServeProcess.start(settings);
         // Without a handler, SIGHUP would terminate the JVM.
         Signal.handle(new Signal("HUP"), signal -> reload(file, settings));
--- a/src/main/java/org/vanilladoor/platform/DescriptorLimits.java
+++ b/src/main/java/org/vanilladoor/platform/DescriptorLimits.java
@@ -9,21 +9,25 @@
  * <p>Immutable and safe for use by any thread.
  *
  * @param callerConnections maximum number of callers' connections
+ * @param ownConnections maximum number of connections to endpoints and the platform
  */
-record DescriptorLimits(int callerConnections) {
+record DescriptorLimits(int callerConnections, int ownConnections) {
     /** Connections for readiness checks and metrics. */
     static final int OPERATOR_CONNECTIONS = 32;
 
     /** The platform's share for files, such as those of the program itself. */
     private static final int FILES = 200;
 
-    /** A request may need a connection to an endpoint beside its caller's. */
-    private static final int DESCRIPTORS_PER_CALLER = 2;
+    /**
+     * Share of the connections that callers may have. Each of them may need one to an endpoint at a
+     * time; the rest is for idle connections and for calls to the platform, as under the lease.
+     */
+    private static final double CALLER_SHARE = 0.4;
 
     /** For processes without a limit; far more than the memory of a VM allows. */
-    private static final int MAXIMUM_CALLER_CONNECTIONS = 4_000;
+    private static final int MAXIMUM_CONNECTIONS = 4_000;
 
-    private static final int MINIMUM_CALLER_CONNECTIONS = 16;
+    private static final int MINIMUM_CONNECTIONS = 16;
 
     /** Returns the division of the allowed descriptors, or of the system's limit if it is lower. */
     static DescriptorLimits of(int allowed) {
@@ -32,12 +36,13 @@
 
     /** Returns the division of a number of descriptors. */
     static DescriptorLimits forDescriptors(long descriptors) {
-        long connections = (descriptors - FILES - OPERATOR_CONNECTIONS) / DESCRIPTORS_PER_CALLER;
+        double connections = descriptors - FILES - OPERATOR_CONNECTIONS;
         return new DescriptorLimits(
-                (int)
-                        Math.max(
-                                MINIMUM_CALLER_CONNECTIONS,
-                                Math.min(MAXIMUM_CALLER_CONNECTIONS, connections)));
+                bounded(connections * CALLER_SHARE), bounded(connections * (1 - CALLER_SHARE)));
+    }
+
+    private static int bounded(double connections) {
+        return (int) Math.max(MINIMUM_CONNECTIONS, Math.min(MAXIMUM_CONNECTIONS, connections));
     }
 
     private static long systemLimit() {
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -99,7 +99,10 @@
         GatewayMetrics metrics = GatewayMetrics.create(registry);
         mMetrics = metrics;
         mMemory = MemoryBudget.ofHeap();
-        mConnections = ConnectionPool.start(mControl, mMemory, metrics::countAnomaly);
+        DescriptorLimits descriptors = DescriptorLimits.of(settings.maximumDescriptors());
+        mConnections =
+                ConnectionPool.start(
+                        descriptors.ownConnections(), mControl, mMemory, metrics::countAnomaly);
         mState = ServingState.create();
         RandomGenerator random = new SplittableRandom();
         EndpointDirectory directory = EndpointDirectory.create();
@@ -146,7 +149,7 @@
         mCallerServer =
                 startServer(
                         settings.callerAddress(),
-                        DescriptorLimits.of(settings.maximumDescriptors()).callerConnections(),
+                        descriptors.callerConnections(),
                         mGateway::handle);
         mMetricsPage = MetricsPage.create(registry, mMemory);
         mOperatorServer =
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -3,6 +3,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.apache.hc.core5.pool.PoolReusePolicy;
 import org.apache.hc.core5.pool.StrictConnPool;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
 import org.apache.logging.log4j.LogManager;
@@ -43,11 +45,8 @@
 
     private static final Logger LOG = LogManager.getLogger(ConnectionPool.class);
 
-    /**
-     * Maximum number of connections. HttpCore requires a bound; the effective one is the limit of
-     * file descriptors.
-     */
-    private static final int MAXIMUM_CONNECTIONS = 4_000;
+    /** Maximum number of connections, unless the process has fewer descriptors. */
+    private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
 
     /** Idle time before the first TCP keep-alive probe, and the interval between probes. */
     private static final int KEEP_ALIVE_PROBE_SECONDS = 1;
@@ -68,6 +67,7 @@
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
     private final DistrustedPeers mDistrustedPeers = DistrustedPeers.create();
     private final Consumer<ConnectionAnomaly> mAnomalyListener;
+    private boolean mShutDown;
 
     private ConnectionPool(
             ControlLoop control,
@@ -83,11 +83,26 @@
     /**
      * Starts a pool without connections.
      *
+     * @see #start(int, ControlLoop, MemoryBudget, Consumer)
+     */
+    public static ConnectionPool start(
+            ControlLoop control, MemoryBudget memory, Consumer<ConnectionAnomaly> anomalyListener) {
+        return start(DEFAULT_MAXIMUM_CONNECTIONS, control, memory, anomalyListener);
+    }
+
+    /**
+     * Starts a pool without connections.
+     *
+     * @param maximumConnections connections that may be open or about to be opened; further calls
+     *     wait for one within their connect timeout
      * @param memory the memory that responses take
      * @param anomalyListener called on the control thread when a peer mixes up its responses
      */
     public static ConnectionPool start(
-            ControlLoop control, MemoryBudget memory, Consumer<ConnectionAnomaly> anomalyListener) {
+            int maximumConnections,
+            ControlLoop control,
+            MemoryBudget memory,
+            Consumer<ConnectionAnomaly> anomalyListener) {
         HttpAsyncRequester requester =
                 new HttpAsyncRequester(
                         reactorConfig(),
@@ -101,8 +116,8 @@
                         e -> LOG.debug("links: A connection failed: {}.", e.toString()),
                         null,
                         new StrictConnPool<>(
-                                MAXIMUM_CONNECTIONS,
-                                MAXIMUM_CONNECTIONS,
+                                maximumConnections,
+                                maximumConnections,
                                 Timeout.DISABLED,
                                 PoolReusePolicy.LIFO,
                                 null),
@@ -243,7 +258,7 @@
 
     /** Returns whether the pool can still open connections. */
     public boolean isRunning() {
-        return mRequester.getStatus() == IOReactorStatus.ACTIVE;
+        return !mShutDown && mRequester.getStatus() == IOReactorStatus.ACTIVE;
     }
 
     @Override
@@ -289,6 +304,29 @@
 
     void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
         PendingConnect pending = new PendingConnect(listener);
+        if (mRequester.getTotalStats().getLeased() >= mRequester.getMaxTotal()) {
+            discardOldestIdle();
+        }
+        try {
+            connect(address, timeoutMillis, pending);
+        } catch (IOReactorShutdownException e) {
+            // An I/O thread that has ended is reported here only.
+            mShutDown = true;
+            mControl.execute(() -> pending.fail(Reachability.UNKNOWN, "can't connect: " + e));
+        }
+    }
+
+    /** Makes room for a connection. */
+    private void discardOldestIdle() {
+        mIdle.values().stream()
+                .filter(connections -> !connections.isEmpty())
+                .min(
+                        Comparator.comparingLong(
+                                connections -> connections.peekFirst().mIdleSinceMillis))
+                .ifPresent(connections -> discard(connections.pollFirst()));
+    }
+
+    private void connect(HostPort address, long timeoutMillis, PendingConnect pending) {
         ResponseBoundary boundary =
                 ResponseBoundary.create(
                         (anomaly, detail) ->
