Bound connections and heads in the product's own interface, and go on accepting after a failure

Cause: HttpCore ends its accepting thread at the first failed accept, so that an entry whose descriptors or memory had run out refused every connection from then on. A head could have 100 lines of 16 KiB each.

ListeningSocketFactory waits for room before it accepts; the connection that is the first to go is closed meanwhile, by the same rule as on the port for serve's callers (CallerActivity, now in common, where DescriptorLimits is, too). A failed accept, also for lack of memory, is tried again after 5 ms, with one log line a second. LimitedHeadParser limits a whole head to 32 KiB, twice what callers are allowed.

Of UncontrolledCallersTests (entry) the two of connections and the one of heads failed before (no request answered for 30 s) and pass now, 1 run of 1. requestsSentAhead... still fails: 482 descriptors, calls to the platform and endpoints are not bounded. CallerPort-, HttpConnectionPool-, EndedProcess- and StopTests pass.

--- a/src/main/java/org/vanilladoor/transport/CallerActivity.java
+++ b/src/main/java/org/vanilladoor/common/CallerActivity.java
@@ -1,4 +1,4 @@
-package org.vanilladoor.transport;
+package org.vanilladoor.common;
 
 import java.util.Comparator;
 import java.util.Optional;
@@ -11,7 +11,7 @@
  * response for less than {@value #MAXIMUM_KEPT_MILLIS} ms, is not closed. Safe for use by any
  * thread.
  */
-final class CallerActivity {
+public final class CallerActivity {
     /** Time that a caller has for its first request when there is no room for others. */
     private static final long FIRST_REQUEST_MILLIS = 100;
 
@@ -32,24 +32,24 @@
     }
 
     /** Returns the activity of a connection that has just been opened. */
-    static CallerActivity openedAt(long nowMillis) {
+    public static CallerActivity openedAt(long nowMillis) {
         return new CallerActivity(nowMillis);
     }
 
-    synchronized void startRequest(long nowMillis) {
+    public synchronized void startRequest(long nowMillis) {
         mHasRequested = true;
         mRequestOpen = true;
         mSinceMillis = nowMillis;
     }
 
-    synchronized void completeResponse(long nowMillis) {
+    public synchronized void completeResponse(long nowMillis) {
         mRequestOpen = false;
         mStuck = false;
         mSinceMillis = nowMillis;
     }
 
     /** Records whether a part of a further request was read before the open one has ended. */
-    synchronized void setReadAhead(boolean readAhead) {
+    public synchronized void setReadAhead(boolean readAhead) {
         mReadAhead = readAhead;
     }
 
@@ -59,7 +59,7 @@
      * @param count number of bytes that the connection took
      * @param complete whether these were all
      */
-    synchronized void recordWrite(int count, boolean complete, long nowMillis) {
+    public synchronized void recordWrite(int count, boolean complete, long nowMillis) {
         if (complete) {
             mStuck = false;
         } else if (count > 0 || !mStuck) {
@@ -69,7 +69,7 @@
     }
 
     /** Returns the reason to close the connection if there is no room; empty if there is none. */
-    synchronized Optional<Candidate> candidate(long nowMillis) {
+    public synchronized Optional<Candidate> candidate(long nowMillis) {
         long ageMillis = nowMillis - mSinceMillis;
         if (!mHasRequested) {
             return candidateIf(ageMillis >= FIRST_REQUEST_MILLIS, Reason.NO_REQUEST);
@@ -88,7 +88,7 @@
     }
 
     /** Reasons to close a connection, the one that is applied first at the top. */
-    enum Reason {
+    public enum Reason {
         NO_REQUEST,
         UNREAD_RESPONSE,
         IDLE,
@@ -100,7 +100,7 @@
      *
      * @param sinceMillis time since which the reason has applied
      */
-    record Candidate(Reason reason, long sinceMillis) implements Comparable<Candidate> {
+    public record Candidate(Reason reason, long sinceMillis) implements Comparable<Candidate> {
         private static final Comparator<Candidate> ORDER =
                 Comparator.comparing(Candidate::reason).thenComparing(Candidate::sinceMillis);
 
--- a/src/main/java/org/vanilladoor/platform/DescriptorLimits.java
+++ b/src/main/java/org/vanilladoor/common/DescriptorLimits.java
@@ -1,4 +1,4 @@
-package org.vanilladoor.platform;
+package org.vanilladoor.common;
 
 import com.sun.management.UnixOperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
@@ -11,9 +11,9 @@
  * @param callerConnections maximum number of callers' connections
  * @param ownConnections maximum number of connections to endpoints and the platform
  */
-record DescriptorLimits(int callerConnections, int ownConnections) {
+public record DescriptorLimits(int callerConnections, int ownConnections) {
     /** Connections for readiness checks and metrics. */
-    static final int OPERATOR_CONNECTIONS = 32;
+    public static final int OPERATOR_CONNECTIONS = 32;
 
     /** The platform's share for files, such as those of the program itself. */
     private static final int FILES = 200;
@@ -30,12 +30,17 @@
     private static final int MINIMUM_CONNECTIONS = 16;
 
     /** Returns the division of the allowed descriptors, or of the system's limit if it is lower. */
-    static DescriptorLimits of(int allowed) {
+    public static DescriptorLimits of(int allowed) {
         return forDescriptors(Math.min(allowed, systemLimit()));
     }
 
+    /** Returns the division of the descriptors that the system allows the process. */
+    public static DescriptorLimits ofSystem() {
+        return forDescriptors(systemLimit());
+    }
+
     /** Returns the division of a number of descriptors. */
-    static DescriptorLimits forDescriptors(long descriptors) {
+    public static DescriptorLimits forDescriptors(long descriptors) {
         double connections = descriptors - FILES - OPERATOR_CONNECTIONS;
         return new DescriptorLimits(
                 bounded(connections * CALLER_SHARE), bounded(connections * (1 - CALLER_SHARE)));
--- a/src/main/java/org/vanilladoor/entry/Entry.java
+++ b/src/main/java/org/vanilladoor/entry/Entry.java
@@ -16,6 +16,7 @@
 import org.vanilladoor.caller.OpenCalls;
 import org.vanilladoor.claim.ClaimLog;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.DescriptorLimits;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.configuration.ActiveConfiguration;
@@ -258,6 +259,7 @@
                 HttpService.start(
                         "caller",
                         mSettings.callerAddress(),
+                        DescriptorLimits.ofSystem().callerConnections(),
                         mSettings.callerIdle(),
                         tls,
                         CallerHandler.create(this, callerContext, mSettings.maximumBodyBytes()));
@@ -265,6 +267,7 @@
                 HttpService.start(
                         "operator",
                         mSettings.operatorAddress(),
+                        DescriptorLimits.OPERATOR_CONNECTIONS,
                         mSettings.callerIdle(),
                         null,
                         OperatorHandler.create(this));
--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -16,10 +16,12 @@
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.bootstrap.HttpServer;
 import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnectionFactory;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.protocol.HttpContext;
@@ -28,6 +30,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MonotonicClock;
 
 /**
  * An HTTP/1.1 server on one address, with one traffic thread per connection.
@@ -41,6 +44,7 @@
     private static final int MAXIMUM_LINE_BYTES = 16_384;
     private static final int MAXIMUM_HEADERS = 100;
     private static final int BACKLOG = 1024;
+    private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
     private final HttpServer mServer;
     private final HostPort mAddress;
     private final ConnectionListener mConnections;
@@ -68,16 +72,41 @@
             SSLContext tls,
             HttpHandler handler)
             throws IOException {
-        ConnectionListener connections = new ConnectionListener(logPrefix);
+        return start(logPrefix, address, DEFAULT_MAXIMUM_CONNECTIONS, idleTimeout, tls, handler);
+    }
+
+    /**
+     * Starts a server with a limit of connections.
+     *
+     * @param maximumConnections connections that may be open; further ones wait until there is room
+     * @see #start(String, HostPort, Duration, SSLContext, HttpHandler)
+     */
+    public static HttpService start(
+            String logPrefix,
+            HostPort address,
+            int maximumConnections,
+            Duration idleTimeout,
+            SSLContext tls,
+            HttpHandler handler)
+            throws IOException {
+        ServerConnections open = ServerConnections.withMaximum(logPrefix, maximumConnections);
+        ConnectionListener connections = new ConnectionListener(logPrefix, open);
+        Http1Config config =
+                Http1Config.custom()
+                        .setMaxLineLength(MAXIMUM_LINE_BYTES)
+                        .setMaxHeaderCount(MAXIMUM_HEADERS)
+                        .build();
         HttpServer server =
                 ServerBootstrap.bootstrap()
                         .setLocalAddress(InetAddress.getByName(address.host()))
                         .setListenerPort(address.port())
-                        .setServerSocketFactory(ListeningSocketFactory.create(tls))
-                        .setHttp1Config(
-                                Http1Config.custom()
-                                        .setMaxLineLength(MAXIMUM_LINE_BYTES)
-                                        .setMaxHeaderCount(MAXIMUM_HEADERS)
+                        .setServerSocketFactory(ListeningSocketFactory.create(tls, open))
+                        .setHttp1Config(config)
+                        .setConnectionFactory(
+                                DefaultBHttpServerConnectionFactory.builder()
+                                        .scheme(URIScheme.HTTP.id)
+                                        .http1Config(config)
+                                        .requestParserFactory(LimitedHeadParser.FACTORY)
                                         .build())
                         .setSocketConfig(
                                 SocketConfig.custom()
@@ -156,15 +185,19 @@
     private static final class ConnectionListener
             implements ExceptionListener, Http1StreamListener {
         private final String mLogPrefix;
+        private final ServerConnections mOpen;
         private final Set<HttpConnection> mBusyConnections = ConcurrentHashMap.newKeySet();
 
-        ConnectionListener(String logPrefix) {
+        ConnectionListener(String logPrefix, ServerConnections open) {
             mLogPrefix = logPrefix;
+            mOpen = open;
         }
 
         @Override
         public void onRequestHead(HttpConnection connection, HttpRequest request) {
             mBusyConnections.add(connection);
+            mOpen.activity(connection)
+                    .ifPresent(activity -> activity.startRequest(MonotonicClock.nowMillis()));
         }
 
         @Override
@@ -175,6 +208,8 @@
         @Override
         public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
             mBusyConnections.remove(connection);
+            mOpen.activity(connection)
+                    .ifPresent(activity -> activity.completeResponse(MonotonicClock.nowMillis()));
         }
 
         @Override
--- a/src/main/java/org/vanilladoor/http/ListeningSocketFactory.java
+++ b/src/main/java/org/vanilladoor/http/ListeningSocketFactory.java
@@ -14,7 +14,8 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Creates listening sockets that accept no connection once {@link ServerSocket#close} has returned.
+ * Creates listening sockets that go on accepting after a failure, accept only as many connections
+ * as are allowed, and none once {@link ServerSocket#close} has returned.
  *
  * <p>The system keeps a listening socket open for as long as a thread waits in {@link
  * ServerSocket#accept}; until that thread returns, connections are still established, and nobody
@@ -23,23 +24,26 @@
 final class ListeningSocketFactory extends ServerSocketFactory {
     private static final int DEFAULT_BACKLOG = 50;
     private final SSLContext mTls;
+    private final ServerConnections mConnections;
 
-    private ListeningSocketFactory(SSLContext tls) {
+    private ListeningSocketFactory(SSLContext tls, ServerConnections connections) {
         mTls = tls;
+        mConnections = connections;
     }
 
     /**
      * Returns a factory.
      *
      * @param tls TLS context of the accepted connections, or null for plain connections
+     * @param connections the connections that are open
      */
-    static ListeningSocketFactory create(SSLContext tls) {
-        return new ListeningSocketFactory(tls);
+    static ListeningSocketFactory create(SSLContext tls, ServerConnections connections) {
+        return new ListeningSocketFactory(tls, connections);
     }
 
     @Override
     public ServerSocket createServerSocket() throws IOException {
-        return new ListeningSocket(mTls);
+        return new ListeningSocket(mTls, mConnections);
     }
 
     @Override
@@ -55,7 +59,7 @@
     @Override
     public ServerSocket createServerSocket(int port, int backlog, InetAddress address)
             throws IOException {
-        return new ListeningSocket(mTls, port, backlog, address);
+        return new ListeningSocket(mTls, mConnections, port, backlog, address);
     }
 
     /** A listening socket whose {@link #close} waits for the threads in {@link #accept}. */
@@ -65,30 +69,57 @@
 
         private static final Logger LOG = LogManager.getLogger(ListeningSocketFactory.class);
         private final SSLContext mTls;
+        private final ServerConnections mConnections;
         private final ReentrantLock mLock = new ReentrantLock();
         private final Condition mReleased = mLock.newCondition();
         private int mAccepting;
 
-        ListeningSocket(SSLContext tls) throws IOException {
+        ListeningSocket(SSLContext tls, ServerConnections connections) throws IOException {
             mTls = tls;
+            mConnections = connections;
         }
 
-        ListeningSocket(SSLContext tls, int port, int backlog, InetAddress address)
+        ListeningSocket(
+                SSLContext tls,
+                ServerConnections connections,
+                int port,
+                int backlog,
+                InetAddress address)
                 throws IOException {
             super(port, backlog, address);
             mTls = tls;
+            mConnections = connections;
         }
 
         @Override
         public Socket accept() throws IOException {
             changeAccepting(1);
             try {
-                return secure(super.accept());
+                Socket connection = acceptWithinLimit();
+                mConnections.add(connection);
+                return secure(connection);
             } finally {
                 changeAccepting(-1);
             }
         }
 
+        /** HttpCore would accept no further connection after a failure. */
+        private Socket acceptWithinLimit() throws IOException {
+            while (true) {
+                mConnections.awaitRoom(this::isClosed);
+                try {
+                    return super.accept();
+                } catch (IOException e) {
+                    if (isClosed() || Thread.currentThread().isInterrupted()) {
+                        throw e;
+                    }
+                    mConnections.pauseAfter(e);
+                } catch (OutOfMemoryError e) {
+                    mConnections.pauseAfter(e);
+                }
+            }
+        }
+
         private Socket secure(Socket connection) throws IOException {
             InputStream nothingRead = null;
             return mTls == null
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.DescriptorLimits;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MemoryBudget;
--- a/src/main/java/org/vanilladoor/transport/CallerConnectionFactory.java
+++ b/src/main/java/org/vanilladoor/transport/CallerConnectionFactory.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.vanilladoor.common.CallerActivity;
 import org.vanilladoor.common.MemoryBudget;
 
 /**
--- a/src/main/java/org/vanilladoor/transport/CallerSessions.java
+++ b/src/main/java/org/vanilladoor/transport/CallerSessions.java
@@ -8,6 +8,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.vanilladoor.common.CallerActivity;
 import org.vanilladoor.common.MonotonicClock;
 
 /**
--- a/src/main/java/org/vanilladoor/transport/CloseDetectingSession.java
+++ b/src/main/java/org/vanilladoor/transport/CloseDetectingSession.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
+import org.vanilladoor.common.CallerActivity;
 import org.vanilladoor.common.MonotonicClock;
 
 /**
--- a/src/main/java/org/vanilladoor/transport/RequestGate.java
+++ b/src/main/java/org/vanilladoor/transport/RequestGate.java
@@ -4,6 +4,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
+import org.vanilladoor.common.CallerActivity;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 
--- a/src/test/java/org/vanilladoor/transport/CallerActivityTests.java
+++ b/src/test/java/org/vanilladoor/common/CallerActivityTests.java
@@ -1,11 +1,11 @@
-package org.vanilladoor.transport;
+package org.vanilladoor.common;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.vanilladoor.transport.CallerActivity.Candidate;
-import org.vanilladoor.transport.CallerActivity.Reason;
+import org.vanilladoor.common.CallerActivity.Candidate;
+import org.vanilladoor.common.CallerActivity.Reason;
 
 /** Guards against a full process that closes the connections of ordinary callers. */
 class CallerActivityTests {
--- a/src/test/java/org/vanilladoor/platform/DescriptorLimitsTests.java
+++ b/src/test/java/org/vanilladoor/common/DescriptorLimitsTests.java
@@ -1,4 +1,4 @@
-package org.vanilladoor.platform;
+package org.vanilladoor.common;
 
 import static com.google.common.truth.Truth.assertThat;
 
