Bound the product's outgoing connections, and close callers who send ahead when there is no room

Cause: HttpConnectionPool opened a connection for each call and kept 64 idle ones for each address, whatever the descriptors are. With its callers' connections bounded, an entry still reached 482 of 500, and classes that could not be read from their files then failed its calls for good. Callers who send many requests ahead never became idle, so that no connection was closed for an ordinary caller.

A pool has a maximum, for entries DescriptorLimits.ownConnections; a call beyond it closes an idle connection or waits for one within its connect timeout, and is then reported as not sent. HttpService records after each response whether its caller has already sent more; such a connection is the last to be closed for want of room.

HttpConnection- Pool-, http.*, CallerPort-, Stop- and PackageRulesTests pass.

--- a/src/main/java/org/vanilladoor/entry/EntryContext.java
+++ b/src/main/java/org/vanilladoor/entry/EntryContext.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.DescriptorLimits;
 import org.vanilladoor.common.Identifiers;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.common.ThreadPools;
@@ -61,7 +62,9 @@
         String incarnation =
                 Long.toHexString(System.currentTimeMillis()) + "-" + Identifiers.random();
         ExecutorService executor = ThreadPools.newDaemonThreadPool("traffic");
-        HttpConnectionPool connections = HttpConnectionPool.create(CONNECT_TIMEOUT);
+        HttpConnectionPool connections =
+                HttpConnectionPool.create(
+                        CONNECT_TIMEOUT, DescriptorLimits.ofSystem().ownConnections());
         PlatformCallLimiter budget =
                 PlatformCallLimiter.create(
                         settings.platformCallsPerSecond(), MonotonicClock::nowMillis);
--- a/src/main/java/org/vanilladoor/http/HttpConnectionPool.java
+++ b/src/main/java/org/vanilladoor/http/HttpConnectionPool.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -28,19 +30,34 @@
  */
 public final class HttpConnectionPool implements AutoCloseable {
     private static final int MAXIMUM_IDLE_PER_ADDRESS = 64;
+    private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
     private final Duration mConnectTimeout;
     private final HttpRequestExecutor mExecutor = new HttpRequestExecutor();
     private final Map<HostPort, ConcurrentLinkedDeque<PooledConnection>> mIdleConnections =
             new ConcurrentHashMap<>();
+    private final int mMaximumConnections;
+    private final Semaphore mFreeConnections;
     private volatile boolean mClosed;
 
-    private HttpConnectionPool(Duration connectTimeout) {
+    private HttpConnectionPool(Duration connectTimeout, int maximumConnections) {
         mConnectTimeout = connectTimeout;
+        mMaximumConnections = maximumConnections;
+        mFreeConnections = new Semaphore(maximumConnections, true);
     }
 
     /** Returns an empty pool. */
     public static HttpConnectionPool create(Duration connectTimeout) {
-        return new HttpConnectionPool(connectTimeout);
+        return create(connectTimeout, DEFAULT_MAXIMUM_CONNECTIONS);
+    }
+
+    /**
+     * Returns an empty pool.
+     *
+     * @param connectTimeout maximum time to wait for room, and then to connect
+     * @param maximumConnections connections that may be open, idle ones included
+     */
+    public static HttpConnectionPool create(Duration connectTimeout, int maximumConnections) {
+        return new HttpConnectionPool(connectTimeout, maximumConnections);
     }
 
     /**
@@ -110,6 +127,44 @@
     }
 
     private PooledConnection connect(HostPort address, boolean dropsUnsent) throws IOException {
+        reserveConnection(address);
+        try {
+            return connectReserved(address, dropsUnsent);
+        } catch (IOException | RuntimeException | Error e) {
+            mFreeConnections.release();
+            throw e;
+        }
+    }
+
+    /** Waits until there is room for a connection, for which an idle one is closed. */
+    private void reserveConnection(HostPort address) throws NotSentException {
+        if (mFreeConnections.tryAcquire()) {
+            return;
+        }
+        closeIdleConnection();
+        try {
+            if (mFreeConnections.tryAcquire(mConnectTimeout.toMillis(), TimeUnit.MILLISECONDS)) {
+                return;
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        IOException cause = new IOException("all " + mMaximumConnections + " are in use");
+        throw new NotSentException("no connection to " + address, cause);
+    }
+
+    private void closeIdleConnection() {
+        for (ConcurrentLinkedDeque<PooledConnection> idle : mIdleConnections.values()) {
+            PooledConnection oldest = idle.pollLast();
+            if (oldest != null) {
+                oldest.close(CloseMode.IMMEDIATE);
+                return;
+            }
+        }
+    }
+
+    private PooledConnection connectReserved(HostPort address, boolean dropsUnsent)
+            throws IOException {
         Socket socket = new Socket();
         try {
             socket.setTcpNoDelay(true);
@@ -118,7 +173,7 @@
                 socket.setSoLinger(true, 0);
             }
             socket.connect(address.toSocketAddress(), (int) mConnectTimeout.toMillis());
-            return PooledConnection.create(socket);
+            return PooledConnection.create(socket, mFreeConnections::release);
         } catch (IOException e) {
             socket.close();
             throw new NotSentException("no connection to " + address, e);
--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -30,7 +30,6 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.HostPort;
-import org.vanilladoor.common.MonotonicClock;
 
 /**
  * An HTTP/1.1 server on one address, with one traffic thread per connection.
@@ -196,8 +195,7 @@
         @Override
         public void onRequestHead(HttpConnection connection, HttpRequest request) {
             mBusyConnections.add(connection);
-            mOpen.activity(connection)
-                    .ifPresent(activity -> activity.startRequest(MonotonicClock.nowMillis()));
+            mOpen.startRequest(connection);
         }
 
         @Override
@@ -208,8 +206,7 @@
         @Override
         public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
             mBusyConnections.remove(connection);
-            mOpen.activity(connection)
-                    .ifPresent(activity -> activity.completeResponse(MonotonicClock.nowMillis()));
+            mOpen.completeResponse(connection);
         }
 
         @Override
--- a/src/main/java/org/vanilladoor/http/PooledConnection.java
+++ b/src/main/java/org/vanilladoor/http/PooledConnection.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.ContentLengthStrategy;
@@ -14,6 +15,7 @@
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.apache.hc.core5.io.CloseMode;
 import org.vanilladoor.transport.ResponseFraming;
 import org.vanilladoor.transport.ResponseLineParser;
 
@@ -25,19 +27,50 @@
  */
 final class PooledConnection extends DefaultBHttpClientConnection {
     private final ResponseParser mParser;
+    private final Runnable mOnClose;
+    private final AtomicBoolean mClosed = new AtomicBoolean();
 
-    private PooledConnection(ResponseParser parser) {
+    private PooledConnection(ResponseParser parser, Runnable onClose) {
         super(Http1Config.DEFAULT, null, null, null, null, null, config -> parser);
         mParser = parser;
+        mOnClose = onClose;
     }
 
-    /** Returns a connection that uses a connected socket. */
-    static PooledConnection create(Socket socket) throws IOException {
-        PooledConnection connection = new PooledConnection(new ResponseParser());
+    /**
+     * Returns a connection that uses a connected socket.
+     *
+     * @param onClose runs once, when the connection is closed
+     */
+    static PooledConnection create(Socket socket, Runnable onClose) throws IOException {
+        PooledConnection connection = new PooledConnection(new ResponseParser(), onClose);
         connection.bind(socket);
         return connection;
     }
 
+    @Override
+    public void close() throws IOException {
+        try {
+            super.close();
+        } finally {
+            recordClose();
+        }
+    }
+
+    @Override
+    public void close(CloseMode mode) {
+        try {
+            super.close(mode);
+        } finally {
+            recordClose();
+        }
+    }
+
+    private void recordClose() {
+        if (mClosed.compareAndSet(false, true)) {
+            mOnClose.run();
+        }
+    }
+
     /** Returns whether the server has neither closed the connection nor sent further bytes. */
     boolean isReusable() {
         try {
--- a/src/main/java/org/vanilladoor/http/ServerConnections.java
+++ b/src/main/java/org/vanilladoor/http/ServerConnections.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.http;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketAddress;
 import java.util.Map;
@@ -67,11 +68,24 @@
         }
     }
 
-    /** Returns what a connection has done; empty if it has ended. */
-    Optional<CallerActivity> activity(HttpConnection connection) {
-        return Optional.ofNullable(connection.getRemoteAddress())
-                .map(mConnections::get)
-                .map(Connection::activity);
+    /** Records that the head of a request was read. */
+    void startRequest(HttpConnection connection) {
+        find(connection)
+                .ifPresent(found -> found.activity().startRequest(MonotonicClock.nowMillis()));
+    }
+
+    /** Records that a response was written, and whether its caller has already sent more. */
+    void completeResponse(HttpConnection connection) {
+        find(connection)
+                .ifPresent(
+                        found -> {
+                            found.activity().completeResponse(MonotonicClock.nowMillis());
+                            found.activity().setReadAhead(found.hasInput());
+                        });
+    }
+
+    private Optional<Connection> find(HttpConnection connection) {
+        return Optional.ofNullable(connection.getRemoteAddress()).map(mConnections::get);
     }
 
     private boolean isFull() {
@@ -116,5 +130,13 @@
     }
 
     /** An open connection. */
-    private record Connection(Socket socket, CallerActivity activity) {}
+    private record Connection(Socket socket, CallerActivity activity) {
+        boolean hasInput() {
+            try {
+                return socket.getInputStream().available() > 0;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+    }
 }
