Charge the bodies of the product's callers to a memory budget

Cause: each body was collected for itself, up to the limit of 4 MiB and twice that while it grew. A hundred callers ran an entry out of memory; its threads ended with OutOfMemoryError at random, with the accepting thread among them if it was unlucky.

HttpExchange charges a body to MemoryBudget (a quarter of the heap for each server) before it is kept, until the handler has returned. Without room the request gets 503 "no-memory" with Retry-After 1, has not run, and its connection is closed. While a stream is being sent its request's body is not charged any more.

CallerPort-, http.* and StopTests pass.

--- a/src/main/java/org/vanilladoor/http/HttpExchange.java
+++ b/src/main/java/org/vanilladoor/http/HttpExchange.java
@@ -1,6 +1,5 @@
 package org.vanilladoor.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -9,6 +8,7 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -17,6 +17,8 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityTemplate;
+import org.vanilladoor.common.MemoryBudget;
+import org.vanilladoor.common.PieceBuffer;
 
 /**
  * One request to a server and the response to it.
@@ -30,16 +32,28 @@
     private final ClassicHttpRequest mRequest;
     private final ClassicHttpResponse mResponse;
     private final URI mUri;
+    private final MemoryBudget.Account mBodyAccount;
 
-    private HttpExchange(ClassicHttpRequest request, ClassicHttpResponse response, URI uri) {
+    private HttpExchange(
+            ClassicHttpRequest request,
+            ClassicHttpResponse response,
+            URI uri,
+            MemoryBudget.Account body) {
         mRequest = request;
         mResponse = response;
         mUri = uri;
+        mBodyAccount = body;
     }
 
-    static HttpExchange create(ClassicHttpRequest request, ClassicHttpResponse response) {
+    /**
+     * Returns the exchange of a request.
+     *
+     * @param body account of the memory that the body takes
+     */
+    static HttpExchange create(
+            ClassicHttpRequest request, ClassicHttpResponse response, MemoryBudget.Account body) {
         try {
-            return new HttpExchange(request, response, new URI(request.getRequestUri()));
+            return new HttpExchange(request, response, new URI(request.getRequestUri()), body);
         } catch (URISyntaxException e) {
             throw new ProblemException(
                     Problem.notRun(400, "malformed-target", "The request target is not a URI."));
@@ -96,7 +110,8 @@
      * Reads the whole body.
      *
      * @param maximumBytes maximum length of the body
-     * @throws ProblemException if the body is longer, or takes more than 60 s to arrive
+     * @throws ProblemException if the body is longer, takes more than 60 s to arrive, or finds no
+     *     memory
      */
     public byte[] readBody(int maximumBytes) throws IOException {
         HttpEntity entity = mRequest.getEntity();
@@ -106,20 +121,26 @@
         if (entity.getContentLength() > maximumBytes) {
             throw tooLarge(maximumBytes);
         }
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        PieceBuffer body = PieceBuffer.create();
         InputStream content = entity.getContent();
         byte[] buffer = new byte[COPY_BYTES];
         long end = System.nanoTime() + BODY_READ_TIMEOUT.toNanos();
         for (int count = content.read(buffer); count >= 0; count = content.read(buffer)) {
-            body.write(buffer, 0, count);
-            if (body.size() > maximumBytes) {
+            if (body.size() + count > maximumBytes) {
                 throw tooLarge(maximumBytes);
             }
+            if (!mBodyAccount.tryResize(body.size() + count)) {
+                throw refuseUnreadBody(
+                        Problem.notRunRetryAfter(
+                                503, "no-memory", "There is no memory for the body.", 1));
+            }
+            body.add(Arrays.copyOf(buffer, count));
             if (System.nanoTime() > end) {
                 throw refuseUnreadBody(
-                        408,
-                        "body-too-slow",
-                        "Reading the body took more than " + BODY_READ_TIMEOUT + ".");
+                        Problem.notRun(
+                                408,
+                                "body-too-slow",
+                                "Reading the body took more than " + BODY_READ_TIMEOUT + "."));
             }
         }
         return body.toByteArray();
@@ -165,16 +186,17 @@
 
     private ProblemException tooLarge(int maximumBytes) {
         return refuseUnreadBody(
-                413, "body-too-large", "The body exceeds " + maximumBytes + " bytes.");
+                Problem.notRun(
+                        413, "body-too-large", "The body exceeds " + maximumBytes + " bytes."));
     }
 
     /**
      * Returns the refusal of a request whose body is not read to its end; its connection is closed.
      */
-    private ProblemException refuseUnreadBody(int status, String type, String detail) {
+    private ProblemException refuseUnreadBody(Problem problem) {
         mRequest.setEntity(null);
         mResponse.setHeader("Connection", "close");
-        return new ProblemException(Problem.notRun(status, type, detail));
+        return new ProblemException(problem);
     }
 
     /** Writes a response body as it is produced; runs on the connection's thread. */
--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -30,6 +30,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.MemoryBudget;
 
 /**
  * An HTTP/1.1 server on one address, with one traffic thread per connection.
@@ -90,6 +91,7 @@
             throws IOException {
         ServerConnections open = ServerConnections.withMaximum(logPrefix, maximumConnections);
         ConnectionListener connections = new ConnectionListener(logPrefix, open);
+        MemoryBudget memory = MemoryBudget.ofHeap();
         Http1Config config =
                 Http1Config.custom()
                         .setMaxLineLength(MAXIMUM_LINE_BYTES)
@@ -117,7 +119,7 @@
                         .setExceptionListener(connections)
                         .setStreamListener(connections)
                         .setRequestRouter(
-                                (request, context) -> toRequestHandler(logPrefix, handler))
+                                (request, context) -> toRequestHandler(logPrefix, memory, handler))
                         .create();
         server.start();
         HostPort used = new HostPort(address.host(), server.getLocalPort());
@@ -150,11 +152,12 @@
         mServer.close(CloseMode.IMMEDIATE);
     }
 
-    private static HttpRequestHandler toRequestHandler(String logPrefix, HttpHandler handler) {
+    private static HttpRequestHandler toRequestHandler(
+            String logPrefix, MemoryBudget memory, HttpHandler handler) {
         return (ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context) -> {
             HttpExchange exchange = null;
-            try {
-                exchange = HttpExchange.create(request, response);
+            try (MemoryBudget.Account body = memory.open(MemoryBudget.Use.REQUEST_BODY)) {
+                exchange = HttpExchange.create(request, response, body);
                 handler.handle(exchange);
             } catch (ProblemException e) {
                 respond(exchange, response, e.problem());
