End an entry one of whose threads has ended, except the thread of a connection

Cause: as in serve, an entry went on without the thread that accepts connections, or another one, and nobody was told. A connection's thread that ended with an error left its connection counted as busy.

ThreadFailures is in force for entries, too. The end of a connection's own thread is logged only, since HttpCore closes its connection; HttpService no longer counts closed connections as busy.

--- a/src/main/java/org/vanilladoor/command/EntryCommand.java
+++ b/src/main/java/org/vanilladoor/command/EntryCommand.java
@@ -34,6 +34,7 @@
     public ExitCode run(CommandLine line, PrintStream output) throws IOException {
         String file = line.getOptionValue("settings");
         EntrySettings settings = EntrySettings.parse(file, CommandArguments.readFile(file));
+        ThreadFailures.endProcess();
         Entry entry = Entry.start(settings, TlsContexts.create(settings).orElse(null));
         output.println("callers " + entry.callerAddress());
         output.println("operators " + entry.operatorAddress());
--- a/src/main/java/org/vanilladoor/command/ThreadFailures.java
+++ b/src/main/java/org/vanilladoor/command/ThreadFailures.java
@@ -16,14 +16,21 @@
     /** Time in which the log line is written, which happens on a thread of its own. */
     private static final long LOG_MILLIS = 100;
 
+    /** Threads that serve one connection each, of HttpCore; they end with it. */
+    private static final String CONNECTION_THREAD_PREFIX = "HTTP-worker";
+
     private ThreadFailures() {}
 
-    /** Ends the process at such a failure from now on. */
+    /** Ends the process at such a failure from now on, except of a connection's own thread. */
     static void endProcess() {
-        Thread.setDefaultUncaughtExceptionHandler(ThreadFailures::endProcess);
+        Thread.setDefaultUncaughtExceptionHandler(ThreadFailures::handle);
     }
 
-    private static void endProcess(Thread thread, Throwable failure) {
+    private static void handle(Thread thread, Throwable failure) {
+        if (thread.getName().startsWith(CONNECTION_THREAD_PREFIX)) {
+            LOG.error("process: A connection has ended: {}.", failure.toString());
+            return;
+        }
         try {
             LOG.error("process: Thread {} has ended: {}.", thread.getName(), failure.toString());
             Thread.sleep(LOG_MILLIS);
--- a/src/main/java/org/vanilladoor/http/HttpService.java
+++ b/src/main/java/org/vanilladoor/http/HttpService.java
@@ -133,6 +133,8 @@
 
     /** Returns the number of connections with a request whose response is incomplete. */
     public int busyConnections() {
+        // The thread of a connection that ends with an error does not report that.
+        mConnections.mBusyConnections.removeIf(connection -> !connection.isOpen());
         return mConnections.mBusyConnections.size();
     }
 
