Close callers that leave a response unread while memory is short

Cause: the output of callers who read nothing stayed charged for up to two minutes. Responses of others then found no memory (log of the test of large unread responses: "there is no memory for the response").

While more than three quarters of the budget are held, ServeProcess.maintain closes every 200 ms the connections whose callers have read nothing of a response for 1 s (event front unread.closed). Slow readers that make progress, and all readers while there is memory, are left alone.

--- a/src/main/java/org/vanilladoor/common/MemoryBudget.java
+++ b/src/main/java/org/vanilladoor/common/MemoryBudget.java
@@ -18,6 +18,9 @@
     /** Minimum interval between log lines about a budget that is spent. */
     private static final long LOG_INTERVAL_MILLIS = 1_000;
 
+    /** Share of the budget below which it is nearly spent. */
+    private static final int FREE_SHARE_DIVISOR = 4;
+
     private final long mCapacityBytes;
     private final Map<Use, Long> mHeldBytes = new EnumMap<>(Use.class);
     private final Map<Use, Long> mRejections = new EnumMap<>(Use.class);
@@ -56,6 +59,11 @@
         return mHeldBytes.get(use);
     }
 
+    /** Returns whether so much is held that messages of usual size may find no room. */
+    public synchronized boolean isNearlySpent() {
+        return mTotalBytes > mCapacityBytes - mCapacityBytes / FREE_SHARE_DIVISOR;
+    }
+
     /** Returns how often an account was not allowed to grow for one use. */
     public synchronized long rejections(Use use) {
         return mRejections.get(use);
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -312,6 +312,7 @@
         directory.removeMissing(MonotonicClock.nowMillis());
         placement.removeUnlisted();
         mConnections.closeIdle();
+        mCallerServer.closeUnreadIfMemoryIsShort();
         boolean isBroken =
                 !mState.isStopping()
                         && !(mCallerServer.isRunning()
--- a/src/main/java/org/vanilladoor/transport/CallerSessions.java
+++ b/src/main/java/org/vanilladoor/transport/CallerSessions.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
 import org.vanilladoor.common.CallerActivity;
+import org.vanilladoor.common.CallerActivity.Reason;
 import org.vanilladoor.common.MonotonicClock;
 
 /**
@@ -54,6 +55,28 @@
         return lowest;
     }
 
+    /**
+     * Closes the connections whose callers leave a response unread.
+     *
+     * @return how many there were
+     */
+    int closeUnread(long nowMillis) {
+        int count = 0;
+        for (CloseDetectingSession session : mSessions.values()) {
+            boolean isUnread =
+                    session.isOpen()
+                            && session.activity()
+                                    .candidate(nowMillis)
+                                    .filter(each -> each.reason() == Reason.UNREAD_RESPONSE)
+                                    .isPresent();
+            if (isUnread) {
+                session.close(CloseMode.IMMEDIATE);
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Returns what the connection from an address has done; nothing if it has already ended. */
     CallerActivity activityAt(SocketAddress address) {
         CloseDetectingSession session = address == null ? null : mSessions.get(address);
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -25,6 +25,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
@@ -52,15 +53,21 @@
     private final HostPort mAddress;
     private final AtomicInteger mOpenExchanges;
     private final CallerConnectionLimit mConnectionLimit;
+    private final CallerSessions mSessions;
+    private final MemoryBudget mMemory;
     private final AtomicInteger mListeners = new AtomicInteger();
 
     private FrontServer(
             HttpAsyncServer server,
             HostPort address,
             AtomicInteger openExchanges,
-            CallerConnectionLimit connectionLimit)
+            CallerConnectionLimit connectionLimit,
+            CallerSessions sessions,
+            MemoryBudget memory)
             throws IOException {
         mServer = server;
+        mSessions = sessions;
+        mMemory = memory;
         mOpenExchanges = openExchanges;
         mConnectionLimit = connectionLimit;
         mAddress = listen(address);
@@ -142,7 +149,7 @@
                         limit,
                         null);
         server.start();
-        return new FrontServer(server, address, openExchanges, limit);
+        return new FrontServer(server, address, openExchanges, limit, sessions, memory);
     }
 
     /** Returns the address that the server listens on. */
@@ -169,6 +176,19 @@
                         == mListeners.get();
     }
 
+    /**
+     * Closes the connections whose callers have read nothing of a response for a second, if there
+     * is little memory left.
+     */
+    public void closeUnreadIfMemoryIsShort() {
+        if (mMemory.isNearlySpent()) {
+            int count = mSessions.closeUnread(MonotonicClock.nowMillis());
+            if (count > 0) {
+                EventLog.write("front", "unread.closed", "count", count);
+            }
+        }
+    }
+
     /** Returns the number of requests whose head was read and whose response is not complete. */
     public int openExchanges() {
         return mOpenExchanges.get();
