--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -82,6 +82,7 @@
     private final PlatformSettings mSettings;
     private final ControlLoop mControl;
     private final MemoryBudget mMemory;
+    private final DescriptorLimits mDescriptors;
     private final ConnectionPool mConnections;
     private final ServingState mState;
     private final Gateway mGateway;
@@ -100,10 +101,8 @@
         GatewayMetrics metrics = GatewayMetrics.create(registry);
         mMetrics = metrics;
         mMemory = MemoryBudget.ofHeap();
-        DescriptorLimits descriptors = DescriptorLimits.of(settings.maximumDescriptors());
-        mConnections =
-                ConnectionPool.start(
-                        descriptors.ownConnections(), mControl, mMemory, metrics::countAnomaly);
+        mDescriptors = DescriptorLimits.of(settings.maximumDescriptors());
+        mConnections = startConnections();
         mState = ServingState.create();
         RandomGenerator random = new SplittableRandom();
         EndpointDirectory directory = EndpointDirectory.create();
@@ -147,22 +146,31 @@
                                 retryBudgets(settings), leaderTasks, leaderTasks, mMemory, metrics),
                         random);
         startFeeds(store, directory, pollInterval, news, random);
-        mCallerServer =
-                startServer(
-                        settings.callerAddress(),
-                        descriptors.callerConnections(),
-                        mGateway::handle);
+        mCallerServer = startCallerServer();
         mMetricsPage = MetricsPage.create(registry, mMemory);
-        mOperatorServer =
-                startServer(
-                        settings.readinessAddress(),
-                        DescriptorLimits.OPERATOR_CONNECTIONS,
-                        this::respondToOperator);
+        mOperatorServer = startOperatorServer();
         tryListenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
         mControl.scheduleWithFixedDelay(
                 MAINTENANCE_INTERVAL, () -> maintain(directory, placement, news));
     }
 
+    private ConnectionPool startConnections() {
+        return ConnectionPool.start(
+                mDescriptors.ownConnections(), mControl, mMemory, mMetrics::countAnomaly);
+    }
+
+    private FrontServer startCallerServer() throws IOException {
+        return startServer(
+                mSettings.callerAddress(), mDescriptors.callerConnections(), mGateway::handle);
+    }
+
+    private FrontServer startOperatorServer() throws IOException {
+        return startServer(
+                mSettings.readinessAddress(),
+                DescriptorLimits.OPERATOR_CONNECTIONS,
+                this::respondToOperator);
+    }
+
     private static LocalRetryBudgets retryBudgets(PlatformSettings settings) {
         return LocalRetryBudgets.create(
                 settings.retryRatio(),
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -12,19 +12,13 @@
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.pool.PoolReusePolicy;
-import org.apache.hc.core5.pool.StrictConnPool;
-import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
@@ -43,24 +37,9 @@
     /** Idle time after which a connection is closed; endpoints close idle connections later. */
     public static final long MAXIMUM_IDLE_MILLIS = 3_500;
 
-    private static final Logger LOG = LogManager.getLogger(ConnectionPool.class);
-
     /** Maximum number of connections, unless the process has fewer descriptors. */
     private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
 
-    /** Idle time before the first TCP keep-alive probe, and the interval between probes. */
-    private static final int KEEP_ALIVE_PROBE_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_PROBES = 3;
-
-    /** Maximum length of a line in the head, the chunk headers or the trailers of a response. */
-    private static final int MAXIMUM_LINE_BYTES = 64 * 1024;
-
-    private static final int MAXIMUM_HEADERS = 200;
-
-    /** Socket timeout of HttpCore; the timeouts of the callers of this class are far shorter. */
-    private static final Timeout SOCKET_TIMEOUT = Timeout.ofMinutes(2);
-
     private final ControlLoop mControl;
     private final MemoryBudget mMemory;
     private final HttpAsyncRequester mRequester;
@@ -103,44 +82,10 @@
             ControlLoop control,
             MemoryBudget memory,
             Consumer<ConnectionAnomaly> anomalyListener) {
-        HttpAsyncRequester requester =
-                new HttpAsyncRequester(
-                        reactorConfig(),
-                        ConnectionHandlerFactory.create(
-                                Http1Config.custom()
-                                        .setMaxLineLength(MAXIMUM_LINE_BYTES)
-                                        .setMaxHeaderCount(MAXIMUM_HEADERS)
-                                        .setInitialWindowSize(OutgoingExchange.WINDOW_BYTES)
-                                        .build()),
-                        null,
-                        e -> LOG.debug("links: A connection failed: {}.", e.toString()),
-                        null,
-                        new StrictConnPool<>(
-                                maximumConnections,
-                                maximumConnections,
-                                Timeout.DISABLED,
-                                PoolReusePolicy.LIFO,
-                                null),
-                        PlainConnections.STRATEGY,
-                        null,
-                        null,
-                        null);
-        requester.start();
+        HttpAsyncRequester requester = OutgoingReactor.start(maximumConnections);
         return new ConnectionPool(control, memory, requester, anomalyListener);
     }
 
-    private static IOReactorConfig reactorConfig() {
-        return IOReactorConfig.custom()
-                .setIoThreadCount(1)
-                .setSoTimeout(SOCKET_TIMEOUT)
-                .setTcpNoDelay(true)
-                .setSoKeepAlive(true)
-                .setTcpKeepIdle(KEEP_ALIVE_PROBE_SECONDS)
-                .setTcpKeepInterval(KEEP_ALIVE_PROBE_SECONDS)
-                .setTcpKeepCount(KEEP_ALIVE_PROBES)
-                .build();
-    }
-
     /**
      * Sends a request at most once, over an idle connection or a new one.
      *
@@ -341,7 +286,7 @@
                         new FutureCallback<>() {
                             @Override
                             public void completed(AsyncClientEndpoint endpoint) {
-                                boundary.setSocketTimeout(SOCKET_TIMEOUT);
+                                boundary.setSocketTimeout(OutgoingReactor.SOCKET_TIMEOUT);
                                 mControl.execute(
                                         () ->
                                                 pending.complete(
