Bound the callers' connections by the heap, too

A VM with 10,250 descriptors would have let in 4,000 connections, whose buffers of 16 KiB and objects, about 24 KiB each by calculation, do not fit into a heap of 160 MB beside the messages. Callers' connections now fit into a quarter of the heap: 1,706 at 160 MB.

--- a/src/test/java/org/vanilladoor/common/DescriptorLimitsTests.java
+++ b/src/test/java/org/vanilladoor/common/DescriptorLimitsTests.java
@@ -18,6 +18,13 @@
                 .isAtMost(2_069);
     }
 
+    @Test
+    void theCallersOfAVmWithManyDescriptorsFitIntoAQuarterOfItsHeap() {
+        DescriptorLimits limits = DescriptorLimits.forDescriptors(10_250);
+        assertThat(limits.callerConnections()).isEqualTo(4_000);
+        assertThat(limits.withinHeap(160 * 1_048_576L).callerConnections()).isEqualTo(1_706);
+    }
+
     @Test
     void eachCallerCanHaveAConnectionToAnEndpoint() {
         for (int descriptors = 300; descriptors < 20_000; descriptors += 100) {
