Mix kinds of misbehaving callers from fixed seeds

aMixtureOfAllKindsOfCallersLeavesAServingProcess runs with the seeds 1, 2 and 3 and the bounds of the other tests: four rounds of connections that send heads, pipelined requests, bodies or nothing, and leave in part.

The product's own interface has no such test yet.

--- a/src/test/java/org/vanilladoor/platform/UncontrolledCallersTests.java
+++ b/src/test/java/org/vanilladoor/platform/UncontrolledCallersTests.java
@@ -7,12 +7,15 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.command.ProcessBounds;
 import org.vanilladoor.command.ProgramProcess;
 import org.vanilladoor.common.HostPort;
@@ -49,6 +52,8 @@
     private static final int SMALL_BODY_BYTES = 10_000;
     private static final int REQUEST_TIMEOUT_MILLIS = 3_000;
     private static final Duration SENDING_TIME = Duration.ofSeconds(20);
+    private static final int MIXTURE_ROUNDS = 4;
+    private static final Duration MIXTURE_SENDING_TIME = Duration.ofSeconds(4);
     private static final Duration START_LIMIT = Duration.ofSeconds(30);
     private static final Duration IDLE_LIMIT = Duration.ofMinutes(2);
     private static final int LISTING_SIZE = 10;
@@ -179,6 +184,41 @@
         check(crowd -> crowd.connect(1_000));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aMixtureOfAllKindsOfCallersLeavesAServingProcess(long seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        check(
+                crowd -> {
+                    for (int round = 0; round < MIXTURE_ROUNDS; round++) {
+                        crowd.leaveByHalf();
+                        crowd.connect(random.nextInt(50, 250));
+                        long roundSeed = random.nextLong();
+                        crowd.send(
+                                (connection, number) -> mixed(roundSeed, connection, number),
+                                random.nextInt(1, 300),
+                                MIXTURE_SENDING_TIME);
+                    }
+                });
+    }
+
+    /** Returns what a connection sends, which is of one kind in each round. */
+    private static String mixed(long roundSeed, int connection, int number) {
+        int kind = new SplittableRandom(roundSeed + connection).nextInt(6);
+        String identifier = roundSeed + "." + connection + "." + number;
+        return switch (kind) {
+            case 0 -> request("/slow/", identifier, "a:\r\n".repeat(180));
+            case 1 -> request("/small/", identifier, "");
+            case 2 -> request("/large/", identifier, "");
+            case 3 -> number == 0 ? "GET / HTTP/1.1\r\n" : "b:" + "c".repeat(number) + "\r\n";
+            case 4 ->
+                    number == 0
+                            ? request("/small/", identifier, "Content-Length: 4000000\r\n")
+                            : "d".repeat(10_000);
+            default -> "";
+        };
+    }
+
     private void check(Behavior behavior) throws IOException {
         try (CallerCrowd crowd = CallerCrowd.at(CALLERS)) {
             behavior.run(crowd);
