--- a/src/main/java/org/vanilladoor/platform/PlatformSettings.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformSettings.java
@@ -28,6 +28,7 @@
  * @param graceMillis time from the signal to stop until the platform kills the process
  * @param allowanceTolerance by how much the cost of a team's requests may exceed its allowance
  * @param exchangePorts ports on which the process may listen for the other VMs
+ * @param maximumDescriptors file descriptors that the VM allows the process
  */
 public record PlatformSettings(
         String vmName,
@@ -44,7 +45,8 @@
         long leaseTurnMillis,
         long graceMillis,
         AllowanceTolerance allowanceTolerance,
-        PortRange exchangePorts) {
+        PortRange exchangePorts,
+        int maximumDescriptors) {
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final int MAXIMUM_VALUE = 1_000_000_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
@@ -95,7 +97,10 @@
                         allowanceTolerance(bounds),
                         root.portRange("port_range")
                                 .or(() -> listen.portRange("port_range"))
-                                .orElse(PortRange.ANY));
+                                .orElse(PortRange.ANY),
+                        (int)
+                                root.section("limits")
+                                        .number("max_fds", 1, MAXIMUM_VALUE, MAXIMUM_VALUE));
         root.throwIfInvalidIgnoringUnknownKeys();
         return settings;
     }
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.DescriptorLimits;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MemoryBudget;
@@ -95,6 +96,7 @@
     private final PlatformSettings mSettings;
     private final ControlLoop mControl;
     private final MemoryBudget mMemory;
+    private final DescriptorLimits mDescriptors;
     private final ConnectionPool mConnections;
     private final ServingState mState;
     private final Gateway mGateway;
@@ -115,7 +117,8 @@
         MetricRegistry registry = new MetricRegistry();
         mMetrics = GatewayMetrics.create(registry);
         mMemory = MemoryBudget.ofHeap();
-        mConnections = ConnectionPool.start(mControl, mMemory, mMetrics::countAnomaly);
+        mDescriptors = DescriptorLimits.of(settings.maximumDescriptors());
+        mConnections = startConnections();
         mState = ServingState.create();
         RandomGenerator random = new SplittableRandom();
         EndpointDirectory directory = EndpointDirectory.create();
@@ -163,7 +166,7 @@
                         random);
         startFeeds(store, directory, pollInterval, news, random);
         mMetricsPage = MetricsPage.create(registry, mMemory);
-        mOperatorServer = startServer(settings.readinessAddress(), this::respondToOperator);
+        mOperatorServer = startOperatorServer();
         tryListenForMetrics(new HostPort(settings.callerAddress().host(), MetricsPage.PORT));
         mControl.scheduleWithFixedDelay(
                 MAINTENANCE_INTERVAL, () -> maintain(directory, placement, news));
@@ -198,6 +201,23 @@
                 mMetrics);
     }
 
+    private ConnectionPool startConnections() {
+        return ConnectionPool.start(
+                mDescriptors.ownConnections(), mControl, mMemory, mMetrics::countAnomaly);
+    }
+
+    private FrontServer startCallerServer() throws IOException {
+        return startServer(
+                mSettings.callerAddress(), mDescriptors.callerConnections(), mGateway::handle);
+    }
+
+    private FrontServer startOperatorServer() throws IOException {
+        return startServer(
+                mSettings.readinessAddress(),
+                DescriptorLimits.OPERATOR_CONNECTIONS,
+                this::respondToOperator);
+    }
+
     private static LocalRetryBudgets retryBudgets(PlatformSettings settings) {
         return LocalRetryBudgets.create(
                 settings.retryRatio(),
@@ -243,8 +263,7 @@
     public static ServeProcess start(PlatformSettings settings) throws IOException {
         ServeProcess process = new ServeProcess(settings);
         process.awaitInitialState();
-        FrontServer callerServer =
-                process.startServer(settings.callerAddress(), process.mGateway::handle);
+        FrontServer callerServer = process.startCallerServer();
         process.mCallerServer = Optional.of(callerServer);
         EventLog.write(
                 "process",
@@ -310,10 +329,12 @@
         return nowMillis < deadlineMillis && (isAcceptingOrRefusing || mGateway.openRequests() > 0);
     }
 
-    private FrontServer startServer(HostPort address, Consumer<FrontExchange> receiver)
+    private FrontServer startServer(
+            HostPort address, int maximumConnections, Consumer<FrontExchange> receiver)
             throws IOException {
         return FrontServer.start(
                 address,
+                maximumConnections,
                 mControl,
                 mMemory,
                 MAXIMUM_HEADER_LINE_BYTES,
@@ -366,8 +387,11 @@
         directory.removeMissing(MonotonicClock.nowMillis());
         placement.removeUnlisted();
         mConnections.closeIdle();
+        mCallerServer.ifPresent(FrontServer::closeUnreadIfMemoryIsShort);
         boolean acceptsCallers = mCallerServer.map(FrontServer::isRunning).orElse(true);
-        if (!mState.isStopping() && !(acceptsCallers && mConnections.isRunning())) {
+        boolean isRunning =
+                acceptsCallers && mOperatorServer.isRunning() && mConnections.isRunning();
+        if (!mState.isStopping() && !isRunning) {
             // Lets the platform start a new process, since this one can no longer serve.
             EventLog.write("process", "broken", "callers", acceptsCallers);
             Runtime.getRuntime().halt(BROKEN_EXIT_CODE);
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -3,6 +3,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,18 +12,13 @@
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.pool.PoolReusePolicy;
-import org.apache.hc.core5.pool.StrictConnPool;
-import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorShutdownException;
 import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
@@ -41,26 +37,8 @@
     /** Idle time after which a connection is closed; endpoints close idle connections later. */
     public static final long MAXIMUM_IDLE_MILLIS = 3_500;
 
-    private static final Logger LOG = LogManager.getLogger(ConnectionPool.class);
-
-    /**
-     * Maximum number of connections. HttpCore requires a bound; the effective one is the limit of
-     * file descriptors.
-     */
-    private static final int MAXIMUM_CONNECTIONS = 4_000;
-
-    /** Idle time before the first TCP keep-alive probe, and the interval between probes. */
-    private static final int KEEP_ALIVE_PROBE_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_PROBES = 3;
-
-    /** Maximum length of a line in the head, the chunk headers or the trailers of a response. */
-    private static final int MAXIMUM_LINE_BYTES = 64 * 1024;
-
-    private static final int MAXIMUM_HEADERS = 200;
-
-    /** Socket timeout of HttpCore; the timeouts of the callers of this class are far shorter. */
-    private static final Timeout SOCKET_TIMEOUT = Timeout.ofMinutes(2);
+    /** Maximum number of connections, unless the process has fewer descriptors. */
+    private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
 
     private final ControlLoop mControl;
     private final MemoryBudget mMemory;
@@ -68,6 +46,7 @@
     private final Map<HostPort, Deque<PooledConnection>> mIdle = new HashMap<>();
     private final DistrustedPeers mDistrustedPeers = DistrustedPeers.create();
     private final Consumer<ConnectionAnomaly> mAnomalyListener;
+    private boolean mShutDown;
 
     private ConnectionPool(
             ControlLoop control,
@@ -83,47 +62,28 @@
     /**
      * Starts a pool without connections.
      *
-     * @param memory the memory that responses take
-     * @param anomalyListener called on the control thread when a peer mixes up its responses
+     * @see #start(int, ControlLoop, MemoryBudget, Consumer)
      */
     public static ConnectionPool start(
             ControlLoop control, MemoryBudget memory, Consumer<ConnectionAnomaly> anomalyListener) {
-        HttpAsyncRequester requester =
-                new HttpAsyncRequester(
-                        reactorConfig(),
-                        ConnectionHandlerFactory.create(
-                                Http1Config.custom()
-                                        .setMaxLineLength(MAXIMUM_LINE_BYTES)
-                                        .setMaxHeaderCount(MAXIMUM_HEADERS)
-                                        .setInitialWindowSize(OutgoingExchange.WINDOW_BYTES)
-                                        .build()),
-                        null,
-                        e -> LOG.debug("links: A connection failed: {}.", e.toString()),
-                        null,
-                        new StrictConnPool<>(
-                                MAXIMUM_CONNECTIONS,
-                                MAXIMUM_CONNECTIONS,
-                                Timeout.DISABLED,
-                                PoolReusePolicy.LIFO,
-                                null),
-                        PlainConnections.STRATEGY,
-                        null,
-                        null,
-                        null);
-        requester.start();
-        return new ConnectionPool(control, memory, requester, anomalyListener);
+        return start(DEFAULT_MAXIMUM_CONNECTIONS, control, memory, anomalyListener);
     }
 
-    private static IOReactorConfig reactorConfig() {
-        return IOReactorConfig.custom()
-                .setIoThreadCount(1)
-                .setSoTimeout(SOCKET_TIMEOUT)
-                .setTcpNoDelay(true)
-                .setSoKeepAlive(true)
-                .setTcpKeepIdle(KEEP_ALIVE_PROBE_SECONDS)
-                .setTcpKeepInterval(KEEP_ALIVE_PROBE_SECONDS)
-                .setTcpKeepCount(KEEP_ALIVE_PROBES)
-                .build();
+    /**
+     * Starts a pool without connections.
+     *
+     * @param maximumConnections connections that may be open or about to be opened; further calls
+     *     wait for one within their connect timeout
+     * @param memory the memory that responses take
+     * @param anomalyListener called on the control thread when a peer mixes up its responses
+     */
+    public static ConnectionPool start(
+            int maximumConnections,
+            ControlLoop control,
+            MemoryBudget memory,
+            Consumer<ConnectionAnomaly> anomalyListener) {
+        HttpAsyncRequester requester = OutgoingReactor.start(maximumConnections);
+        return new ConnectionPool(control, memory, requester, anomalyListener);
     }
 
     /**
@@ -243,7 +203,7 @@
 
     /** Returns whether the pool can still open connections. */
     public boolean isRunning() {
-        return mRequester.getStatus() == IOReactorStatus.ACTIVE;
+        return !mShutDown && mRequester.getStatus() == IOReactorStatus.ACTIVE;
     }
 
     @Override
@@ -289,6 +249,29 @@
 
     void connect(HostPort address, long timeoutMillis, ConnectListener listener) {
         PendingConnect pending = new PendingConnect(listener);
+        if (mRequester.getTotalStats().getLeased() >= mRequester.getMaxTotal()) {
+            discardOldestIdle();
+        }
+        try {
+            connect(address, timeoutMillis, pending);
+        } catch (IOReactorShutdownException e) {
+            // An I/O thread that has ended is reported here only.
+            mShutDown = true;
+            mControl.execute(() -> pending.fail(Reachability.UNKNOWN, "can't connect: " + e));
+        }
+    }
+
+    /** Makes room for a connection. */
+    private void discardOldestIdle() {
+        mIdle.values().stream()
+                .filter(connections -> !connections.isEmpty())
+                .min(
+                        Comparator.comparingLong(
+                                connections -> connections.peekFirst().mIdleSinceMillis))
+                .ifPresent(connections -> discard(connections.pollFirst()));
+    }
+
+    private void connect(HostPort address, long timeoutMillis, PendingConnect pending) {
         ResponseBoundary boundary =
                 ResponseBoundary.create(
                         (anomaly, detail) ->
@@ -303,7 +286,7 @@
                         new FutureCallback<>() {
                             @Override
                             public void completed(AsyncClientEndpoint endpoint) {
-                                boundary.setSocketTimeout(SOCKET_TIMEOUT);
+                                boundary.setSocketTimeout(OutgoingReactor.SOCKET_TIMEOUT);
                                 mControl.execute(
                                         () ->
                                                 pending.complete(
--- a/src/main/java/org/vanilladoor/transport/FrontServer.java
+++ b/src/main/java/org/vanilladoor/transport/FrontServer.java
@@ -25,6 +25,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
@@ -40,6 +41,7 @@
     private static final Timeout IDLE_TIMEOUT = Timeout.ofSeconds(120);
 
     private static final int MAXIMUM_HEADERS = 200;
+    private static final int DEFAULT_MAXIMUM_CONNECTIONS = 4_000;
     private static final int ACCEPT_BACKLOG = 512;
     private static final int LISTEN_TIMEOUT_SECONDS = 10;
 
@@ -50,11 +52,25 @@
     private final HttpAsyncServer mServer;
     private final HostPort mAddress;
     private final AtomicInteger mOpenExchanges;
+    private final CallerConnectionLimit mConnectionLimit;
+    private final CallerSessions mSessions;
+    private final MemoryBudget mMemory;
+    private final AtomicInteger mListeners = new AtomicInteger();
 
-    private FrontServer(HttpAsyncServer server, HostPort address, AtomicInteger openExchanges) {
+    private FrontServer(
+            HttpAsyncServer server,
+            HostPort address,
+            AtomicInteger openExchanges,
+            CallerConnectionLimit connectionLimit,
+            CallerSessions sessions,
+            MemoryBudget memory)
+            throws IOException {
         mServer = server;
-        mAddress = address;
+        mSessions = sessions;
+        mMemory = memory;
         mOpenExchanges = openExchanges;
+        mConnectionLimit = connectionLimit;
+        mAddress = listen(address);
     }
 
     /**
@@ -76,8 +92,34 @@
             IntSupplier maximumBodyBytes,
             Consumer<FrontExchange> receiver)
             throws IOException {
-        CurrentConnection current = new CurrentConnection();
+        return start(
+                address,
+                DEFAULT_MAXIMUM_CONNECTIONS,
+                control,
+                memory,
+                maximumHeaderLineBytes,
+                maximumBodyBytes,
+                receiver);
+    }
+
+    /**
+     * Starts a server with a limit of connections.
+     *
+     * @param maximumConnections connections that may be open; further ones wait until there is room
+     * @see #start(HostPort, ControlLoop, MemoryBudget, int, IntSupplier, Consumer)
+     */
+    public static FrontServer start(
+            HostPort address,
+            int maximumConnections,
+            ControlLoop control,
+            MemoryBudget memory,
+            int maximumHeaderLineBytes,
+            IntSupplier maximumBodyBytes,
+            Consumer<FrontExchange> receiver)
+            throws IOException {
         CallerSessions sessions = new CallerSessions();
+        CurrentConnection current = new CurrentConnection();
+        CallerConnectionLimit limit = CallerConnectionLimit.of(maximumConnections, sessions);
         AtomicInteger openExchanges = new AtomicInteger();
         Http1Config config =
                 Http1Config.custom()
@@ -96,16 +138,18 @@
                                                 maximumBodyBytes.getAsInt(),
                                                 receiver,
                                                 openExchanges),
-                                current),
+                                current,
+                                sessions,
+                                memory),
                         reactorConfig(),
                         sessions::decorate,
                         e -> LOG.debug("front: A connection failed: {}.", e.toString()),
                         sessions,
                         null,
-                        null,
+                        limit,
                         null);
         server.start();
-        return new FrontServer(server, listen(server, address), openExchanges);
+        return new FrontServer(server, address, openExchanges, limit, sessions, memory);
     }
 
     /** Returns the address that the server listens on. */
@@ -119,12 +163,30 @@
      * @throws IOException if the address can't be listened on
      */
     public void alsoListen(HostPort address) throws IOException {
-        listen(mServer, address);
+        listen(address);
     }
 
-    /** Returns whether the server still accepts requests. */
+    /**
+     * Returns whether the server still accepts requests; it does not if a thread of HttpCore has
+     * ended, which closes what it listens on.
+     */
     public boolean isRunning() {
-        return mServer.getStatus() == IOReactorStatus.ACTIVE;
+        return mServer.getStatus() == IOReactorStatus.ACTIVE
+                && mServer.getEndpoints().stream().filter(each -> !each.isClosed()).count()
+                        == mListeners.get();
+    }
+
+    /**
+     * Closes the connections whose callers have read nothing of a response for a second, if there
+     * is little memory left.
+     */
+    public void closeUnreadIfMemoryIsShort() {
+        if (mMemory.isNearlySpent()) {
+            int count = mSessions.closeUnread(MonotonicClock.nowMillis());
+            if (count > 0) {
+                EventLog.write("front", "unread.closed", "count", count);
+            }
+        }
     }
 
     /** Returns the number of requests whose head was read and whose response is not complete. */
@@ -144,6 +206,7 @@
             while (openExchanges() > 0 && MonotonicClock.nowMillis() < deadlineMillis) {
                 Thread.sleep(STOP_CHECK_INTERVAL_MILLIS);
             }
+            mConnectionLimit.end();
             mServer.initiateShutdown();
             long remainingMillis = deadlineMillis - MonotonicClock.nowMillis();
             mServer.awaitShutdown(TimeValue.ofMilliseconds(Math.max(0, remainingMillis)));
@@ -156,6 +219,7 @@
     /** Closes all connections. */
     @Override
     public void close() {
+        mConnectionLimit.end();
         mServer.close(CloseMode.IMMEDIATE);
     }
 
@@ -170,11 +234,12 @@
                 .build();
     }
 
-    private static HostPort listen(HttpAsyncServer server, HostPort address) throws IOException {
+    private HostPort listen(HostPort address) throws IOException {
         try {
             ListenerEndpoint endpoint =
-                    server.listen(address.toSocketAddress(), URIScheme.HTTP)
+                    mServer.listen(address.toSocketAddress(), URIScheme.HTTP)
                             .get(LISTEN_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            mListeners.incrementAndGet();
             int port = ((InetSocketAddress) endpoint.getAddress()).getPort();
             return new HostPort(address.host(), port);
         } catch (ExecutionException e) {
--- a/src/test/java/org/vanilladoor/platform/ProcessStartTests.java
+++ b/src/test/java/org/vanilladoor/platform/ProcessStartTests.java
@@ -47,8 +47,9 @@
         mStore.put(
                 ConfigurationFeed.KIND,
                 "main",
-                "{\"version\":1,\"routes\":[{\"name\":\"safe\",\"host\":\"h\",\"prefix\":\"/safe/\","
-                        + "\"type\":\"safe\",\"service\":\"s\",\"timeout_ms\":9000,\"public\":true}],"
+                "{\"version\":1,\"routes\":[{\"name\":\"safe\",\"host\":\"h\","
+                        + "\"prefix\":\"/safe/\",\"type\":\"safe\",\"service\":\"s\","
+                        + "\"timeout_ms\":9000,\"public\":true}],"
                         + "\"services\":[{\"name\":\"s\"}]}");
         startProcess();
         assertThat(firstLine()).isEqualTo("HTTP/1.1 200 OK");
