--- a/src/main/java/org/vanilladoor/platform/PlatformSettings.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformSettings.java
@@ -95,6 +95,7 @@
                         allowanceTolerance(bounds),
                         root.portRange("port_range")
                                 .or(() -> listen.portRange("port_range"))
+                                .or(() -> bounds.portRange("port_range"))
                                 .orElse(PortRange.ANY));
         root.throwIfInvalidIgnoringUnknownKeys();
         return settings;
--- a/src/test/java/org/vanilladoor/platform/AllowanceDecoderTests.java
+++ b/src/test/java/org/vanilladoor/platform/AllowanceDecoderTests.java
@@ -136,6 +136,12 @@
         assertThat(settings(line, "").exchangePorts()).isEqualTo(new PortRange(first, last));
     }
 
+    @Test
+    void theRangeOfPortsIsAlsoReadFromTheBounds() {
+        assertThat(settings("", "port_range = [20000, 20099]").exchangePorts())
+                .isEqualTo(new PortRange(20_000, 20_099));
+    }
+
     private static PlatformSettings settings(String line, String bounds) {
         return PlatformSettings.parse(
                 "local.toml",
