Take back the tuning of the choice by expected end

The tuning came from a simulated fleet without transfer limits and without the slowing of streams by prefills.

CostPlacementTests, CostModelTests, BalancedChoiceTests and CostRoutingTests pass.

--- a/src/main/java/org/vanilladoor/fleet/CostAssessment.java
+++ b/src/main/java/org/vanilladoor/fleet/CostAssessment.java
@@ -16,9 +16,6 @@
     /** Part of an engine's KV memory that is used; others' requests are an estimate. */
     private static final double USABLE_MEMORY_PART = 0.9;
 
-    /** Above this, requests that wait tell more than the part of the slots that is in use. */
-    private static final double MAXIMUM_UTILIZATION = 0.9;
-
     /** Part of its work that is left, on average, of a request in progress. */
     private static final double LEFT_PART = 0.5;
 
@@ -96,7 +93,7 @@
                         request, endpoint, phase, holdsPrefix ? request.sharedTokens() : 0, isNear);
         double prompts = cost.ownPromptMillis() + others * promptMillisLeft(mean, isPrefillEngine);
         double slotWork = cost.ownSlotMillis() + others * LEFT_PART * mean.slotMillis();
-        double queueMillis = queueFactor(calls, slots) * mean.slotMillis();
+        double queueMillis = Math.max(0, calls + 1 - slots) / slots * mean.slotMillis();
         double waitMillis = slowness * (prompts + (isPrefillEngine ? 0 : queueMillis));
         double distanceMillis = isNear ? 0 : ServiceCosts.DISTANCE_MILLIS;
         return new Option(
@@ -105,7 +102,7 @@
                 slowness,
                 calls,
                 waitMillis,
-                slowness * (prompts + slotWork / slots + (isPrefillEngine ? 0 : queueMillis)),
+                slowness * (prompts + slotWork / slots),
                 waitMillis
                         + slowness * work.firstResultMillis()
                         + distanceMillis
@@ -126,16 +123,6 @@
         return LEFT_PART * promptPart * mean.promptMillis();
     }
 
-    /**
-     * Returns the expected wait for a slot, as a multiple of a request's time, by the usual
-     * approximation for several servers, and by the requests that are more than the slots.
-     */
-    private static double queueFactor(double calls, double slots) {
-        double utilization = Math.min(MAXIMUM_UTILIZATION, calls / slots);
-        double delayed = Math.pow(utilization, Math.sqrt(2 * (slots + 1)) - 1);
-        return delayed / (slots * (1 - utilization)) + Math.max(0, calls + 1 - slots) / slots;
-    }
-
     private static boolean hasRoom(
             RequestProfile request, WorkPhase phase, EndpointCost cost, double othersTokens) {
         if (request.kvCacheTokens() <= 0) {
--- a/src/main/java/org/vanilladoor/fleet/CostPlacement.java
+++ b/src/main/java/org/vanilladoor/fleet/CostPlacement.java
@@ -17,32 +17,16 @@
  */
 final class CostPlacement {
     /**
-     * Maximum of the time that is taken to pass until newer loads are known. The minimum is a part
-     * of the work of one request, since its response is the first that shows that it was sent.
+     * Maximum of the time that is taken to pass until newer loads are known. The minimum is the
+     * work of one request, since its response is the first that shows that it was sent.
      */
     private static final double MAXIMUM_HORIZON_MILLIS = 400;
 
     /** Less than any difference that matters. */
     private static final double MINIMUM_SPREAD_MILLIS = 0.1;
 
-    /** That minimum, as a part of a request's work; half of it is left on average. */
-    private static final double MINIMUM_HORIZON_REQUESTS = 0.5;
-
-    /** Outstanding work grows by no more than about the work of one request. */
-    private static final double MAXIMUM_HORIZON_REQUESTS = 1;
-
-    /**
-     * Part of the work with one prefix that is spread; other prefixes fill the engines as well. In
-     * a replay, 1 lowered the part of prompts whose prefix was held from 0.93 to 0.89.
-     */
-    private static final double PREFIX_SPREAD = 0.3;
-
-    /**
-     * Advantage from which on an engine that runs requests prefills, since that delays the events
-     * of its streams. In a replay under load, 1 made 0.006 of the chats late instead of 0.001, and
-     * no more long prompts were on time.
-     */
-    private static final double OWN_PREFILL_ADVANTAGE = 1.5;
+    /** Outstanding work does not grow beyond about this many times the work of one request. */
+    private static final double HORIZON_REQUESTS = 2;
 
     /** Part of the capacity that is taken to be in use at least. */
     private static final double MINIMUM_UTILIZATION = 0.25;
@@ -59,11 +43,6 @@
     private final RandomGenerator mRandom;
     private final Map<String, ServiceCosts> mServices = new HashMap<>();
 
-    /** The last choice and its request, whose call is opened next. */
-    private CostAssessment.Option mChosen;
-
-    private RequestProfile mChosenRequest;
-
     private CostPlacement(String ownDomain, RandomGenerator random) {
         mOwnDomain = ownDomain;
         mRandom = random;
@@ -95,15 +74,15 @@
             long nowMillis) {
         ServiceCosts costs = costs(endpoint.service());
         boolean isNear = endpoint.failureDomain().equals(cacheDomain.orElse(mOwnDomain));
-        CostAssessment.Option option = mChosen;
-        if (request != mChosenRequest || option == null || !option.endpoint().equals(endpoint)) {
-            boolean isHolder =
-                    costs.prefixUse().wasUsedAt(request.prefixKey(), endpoint, nowMillis);
-            option =
-                    CostAssessment.option(
-                            costs, request, phase, endpoint, isHolder, isHolder, isNear, nowMillis);
-        }
-        return CallCost.open(costs, request, phase, isNear, option, nowMillis);
+        boolean isHolder = costs.prefixUse().wasUsedAt(request.prefixKey(), endpoint, nowMillis);
+        return CallCost.open(
+                costs,
+                request,
+                phase,
+                isNear,
+                CostAssessment.option(
+                        costs, request, phase, endpoint, isHolder, isHolder, isNear, nowMillis),
+                nowMillis);
     }
 
     /** Returns whether one of the endpoints has memory for the request. */
@@ -132,7 +111,6 @@
         }
         ServiceCosts costs = costs(request.service());
         return choose(
-                request,
                 options,
                 option ->
                         (option.endMillis() + preferenceMillis(costs, request, phase, option))
@@ -166,7 +144,6 @@
         double share = costs.prefixUse().share(request.prefixKey(), nowMillis);
         double prefixPart = request.prefixKey().isEmpty() ? 1 : Math.min(1, share * engines.size());
         return choose(
-                request,
                 options,
                 option -> option.endMillis() + rereadMillis(costs, request, option),
                 prefixPart * spreadMillis(assessment, options));
@@ -185,7 +162,7 @@
         double prefill = soonestMillis(request, WorkPhase.PREFILL, prefillEngines, nowMillis);
         double run = soonestMillis(request, WorkPhase.RUN_WITH_CACHE, runEngines, nowMillis);
         double noise = MINIMUM_NOISE + NOISE_RANGE * mRandom.nextDouble();
-        return OWN_PREFILL_ADVANTAGE * noise * own < prefill + run;
+        return own * noise < prefill + run;
     }
 
     private double soonestMillis(
@@ -263,16 +240,13 @@
                         .orElse(0);
         double horizonMillis =
                 Math.max(
-                        MINIMUM_HORIZON_REQUESTS * workMillis,
-                        Math.min(
-                                assessment.reportAgeMillis(),
-                                MAXIMUM_HORIZON_REQUESTS * workMillis));
+                        workMillis,
+                        Math.min(assessment.reportAgeMillis(), HORIZON_REQUESTS * workMillis));
         return Math.max(MINIMUM_UTILIZATION, assessment.utilization())
                 * Math.min(MAXIMUM_HORIZON_MILLIS, horizonMillis);
     }
 
     private Optional<Endpoint> choose(
-            RequestProfile request,
             List<CostAssessment.Option> options,
             ToDoubleFunction<CostAssessment.Option> endMillis,
             double spreadMillis) {
@@ -285,9 +259,7 @@
         int chosen =
                 BalancedChoice.choose(
                         ends, capacities, Math.max(MINIMUM_SPREAD_MILLIS, spreadMillis), mRandom);
-        mChosen = options.get(chosen);
-        mChosenRequest = request;
-        return Optional.of(mChosen.endpoint());
+        return Optional.of(options.get(chosen).endpoint());
     }
 
     private ServiceCosts costs(String service) {
