Keep connections whose callers sent requests ahead for a second only when there is no room

Its log: 107 places, 400 callers with four requests each; their calls failed at once (502), after which each connection counted as an ordinary caller's and kept its place for 12 s, so that four groups held all places in turn (71 and 181 closed as IDLE at 12 and 24 s). Ruled out: memory and descriptors.

Both UncontrolledCallersTests, CallerActivityTests (with the new case), RequestsSentAheadTests and FrontServerTests pass. Callers with one request each can still hold all places for 12 s (docs/design/CONNECTIONS.md, Open).

--- a/src/main/java/org/vanilladoor/common/CallerActivity.java
+++ b/src/main/java/org/vanilladoor/common/CallerActivity.java
@@ -8,8 +8,8 @@
  * a further one.
  *
  * <p>Invariant: a connection with a request that its caller waits for, or one that was kept after a
- * response for less than {@value #MAXIMUM_KEPT_MILLIS} ms, is not closed. Safe for use by any
- * thread.
+ * response for less than {@value #MAXIMUM_KEPT_MILLIS} ms, is not closed unless its caller has sent
+ * requests ahead. Safe for use by any thread.
  */
 public final class CallerActivity {
     /** Time that a caller has for its first request when there is no room for others. */
@@ -21,7 +21,14 @@
     /** Callers keep a connection idle for up to four fifths of the 15 s that are allowed. */
     private static final long MAXIMUM_KEPT_MILLIS = 12_000;
 
+    /**
+     * Time for which a connection that has carried requests sent ahead is kept. With the longer
+     * one, a few hundred such callers held all places in turn for half a minute.
+     */
+    private static final long MAXIMUM_KEPT_AFTER_SENDING_AHEAD_MILLIS = 1_000;
+
     private boolean mHasRequested;
+    private boolean mHasSentAhead;
     private boolean mRequestOpen;
     private boolean mReadAhead;
     private boolean mStuck;
@@ -51,6 +58,7 @@
     /** Records whether a part of a further request was read before the open one has ended. */
     public synchronized void setReadAhead(boolean readAhead) {
         mReadAhead = readAhead;
+        mHasSentAhead |= readAhead;
     }
 
     /**
@@ -80,7 +88,9 @@
         if (mRequestOpen) {
             return candidateIf(mReadAhead, Reason.REQUEST_SENT_AHEAD);
         }
-        return candidateIf(ageMillis >= MAXIMUM_KEPT_MILLIS, Reason.IDLE);
+        long keptMillis =
+                mHasSentAhead ? MAXIMUM_KEPT_AFTER_SENDING_AHEAD_MILLIS : MAXIMUM_KEPT_MILLIS;
+        return candidateIf(ageMillis >= keptMillis, Reason.IDLE);
     }
 
     private Optional<Candidate> candidateIf(boolean condition, Reason reason) {
--- a/src/test/java/org/vanilladoor/common/CallerActivityTests.java
+++ b/src/test/java/org/vanilladoor/common/CallerActivityTests.java
@@ -42,6 +42,16 @@
                 .hasValue(new Candidate(Reason.UNREAD_RESPONSE, 2_900));
     }
 
+    @Test
+    void aConnectionThatCarriedRequestsSentAheadIsNotKeptForLong() {
+        mActivity.startRequest(1_050);
+        mActivity.setReadAhead(true);
+        mActivity.setReadAhead(false);
+        mActivity.completeResponse(2_000);
+        assertThat(mActivity.candidate(2_999)).isEmpty();
+        assertThat(mActivity.candidate(3_000)).hasValue(new Candidate(Reason.IDLE, 2_000));
+    }
+
     @Test
     void requestsSentAheadAreAReasonToCloseAfterAllOthers() {
         mActivity.startRequest(1_050);
