Read no further than the window when input is left from the read before

Trace of the second case beside busy processes: each read of a chunked body took what was left in the buffer, filled it again and left almost as much; as long as something is left, HttpCore reads on, whatever the window says (106,496 bytes and more read, none handled, none returned). The input of one response was 275,140 bytes. Ruled out: the test's sum of uses, which isn't atomic, but was at most 40,772 too high.

A read now fills the buffer only if it was empty. The first case has the same input; it was not shown apart.

--- a/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
+++ b/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
@@ -79,7 +79,8 @@
     @Override
     public int read(ByteBuffer target) throws IOException {
         int count = 0;
-        boolean hasFilled = false;
+        // HttpCore reads beyond the window of a response as long as input is left in the buffer.
+        boolean hasFilled = buffer().hasData();
         while (!isCompleted() && (mPosition != Position.DATA || target.hasRemaining())) {
             if (!buffer().hasData()) {
                 // One read, so that other connections have their turn.
