Share the search for the connection to close, and call a report that can't be true invalid

Two servers searched their connections with the same loop; CallerActivity.firstToClose does it for both. UncontrolledCallersTests of both interfaces, CallerActivityTests, UnreadResponseTests and CostModelTests pass.

--- a/src/main/java/org/vanilladoor/common/CallerActivity.java
+++ b/src/main/java/org/vanilladoor/common/CallerActivity.java
@@ -1,7 +1,9 @@
 package org.vanilladoor.common;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * What a caller's connection has done, which decides whether it is closed when there is no room for
@@ -93,6 +95,23 @@
         return candidateIf(ageMillis >= keptMillis, Reason.IDLE);
     }
 
+    /**
+     * Returns the connection that is closed first when there is no room, if one may be closed.
+     *
+     * @param candidateOf returns the reason to close a connection, if there is one
+     */
+    public static <T> Optional<Closable<T>> firstToClose(
+            Collection<T> connections, Function<T, Optional<Candidate>> candidateOf) {
+        return connections.stream()
+                .flatMap(
+                        connection ->
+                                candidateOf
+                                        .apply(connection)
+                                        .map(candidate -> new Closable<>(connection, candidate))
+                                        .stream())
+                .min(Comparator.comparing(Closable::candidate));
+    }
+
     private Optional<Candidate> candidateIf(boolean condition, Reason reason) {
         return condition ? Optional.of(new Candidate(reason, mSinceMillis)) : Optional.empty();
     }
@@ -105,8 +124,11 @@
         REQUEST_SENT_AHEAD
     }
 
+    /** A connection and the reason for which it may be closed. */
+    public record Closable<T>(T connection, Candidate candidate) {}
+
     /**
-     * A connection that may be closed.
+     * The reason for which a connection may be closed.
      *
      * @param sinceMillis time since which the reason has applied
      */
--- a/src/main/java/org/vanilladoor/fleet/EndpointCost.java
+++ b/src/main/java/org/vanilladoor/fleet/EndpointCost.java
@@ -41,7 +41,7 @@
     private double mOwnPromptMillis;
     private double mOwnSlotMillis;
     private long mOwnTokens;
-    private boolean mNonsenseLogged;
+    private boolean mInvalidReportLogged;
 
     EndpointCost(Endpoint endpoint) {
         mEndpoint = endpoint;
@@ -59,7 +59,7 @@
 
     void recordLoad(LoadSample sample, long nowMillis) {
         if (sample.running() < 0 || sample.waiting() < 0) {
-            logNonsense(sample);
+            logInvalidReport(sample);
             return;
         }
         // The call whose response carries the report is still counted as an own one.
@@ -73,18 +73,18 @@
         }
         double factor = sample.slowdown().getAsDouble();
         if (factor < MINIMUM_FACTOR || factor > MAXIMUM_FACTOR) {
-            logNonsense(sample);
+            logInvalidReport(sample);
         }
         mFactor = clamp(factor);
         mFactorMillis = nowMillis;
         mUsualFactor.observe(mFactor);
     }
 
-    private void logNonsense(LoadSample sample) {
-        if (!mNonsenseLogged) {
-            mNonsenseLogged = true;
+    private void logInvalidReport(LoadSample sample) {
+        if (!mInvalidReportLogged) {
+            mInvalidReportLogged = true;
             EventLog.write(
-                    "endpoints", "load.nonsense", "endpoint", mEndpoint.name(), "load", sample);
+                    "endpoints", "load.invalid", "endpoint", mEndpoint.name(), "load", sample);
         }
     }
 
--- a/src/main/java/org/vanilladoor/fleet/PrefixUse.java
+++ b/src/main/java/org/vanilladoor/fleet/PrefixUse.java
@@ -88,7 +88,11 @@
         return (int) Math.max(MINIMUM_HOLDERS, Math.min(engineCount, wanted));
     }
 
-    /** Returns the rank of an engine for a prefix, the same on all VMs; the lowest goes first. */
+    /**
+     * Returns the rank of an engine for a prefix, the same on all VMs; the lowest goes first. It is
+     * needed for each engine and request, so that it does without the digests of {@link
+     * org.vanilladoor.common.RendezvousRanking}.
+     */
     static long rank(String prefixKey, Endpoint engine) {
         long mixed =
                 ((long) prefixKey.hashCode() << Integer.SIZE)
--- a/src/main/java/org/vanilladoor/http/ServerConnections.java
+++ b/src/main/java/org/vanilladoor/http/ServerConnections.java
@@ -96,21 +96,16 @@
     }
 
     private void closeFirstCandidate(long nowMillis) {
-        Connection first = null;
-        Optional<CallerActivity.Candidate> lowest = Optional.empty();
-        for (Connection connection : mConnections.values()) {
-            Optional<CallerActivity.Candidate> candidate =
-                    connection.activity().candidate(nowMillis);
-            if (candidate.isPresent()
-                    && (lowest.isEmpty() || candidate.get().compareTo(lowest.get()) < 0)) {
-                first = connection;
-                lowest = candidate;
-            }
-        }
-        if (first != null) {
-            Closer.closeQuietly(first.socket());
-            log("A connection is closed to make room: " + lowest.get().reason());
-        }
+        CallerActivity.firstToClose(
+                        mConnections.values(),
+                        connection -> connection.activity().candidate(nowMillis))
+                .ifPresent(
+                        found -> {
+                            Closer.closeQuietly(found.connection().socket());
+                            log(
+                                    "A connection is closed to make room: "
+                                            + found.candidate().reason());
+                        });
     }
 
     private void log(String text) {
--- a/src/main/java/org/vanilladoor/transport/CallerSessions.java
+++ b/src/main/java/org/vanilladoor/transport/CallerSessions.java
@@ -38,21 +38,11 @@
      * @return why it was closed
      */
     Optional<CallerActivity.Candidate> closeFirstCandidate(long nowMillis) {
-        CloseDetectingSession first = null;
-        Optional<CallerActivity.Candidate> lowest = Optional.empty();
-        for (CloseDetectingSession session : mSessions.values()) {
-            Optional<CallerActivity.Candidate> candidate =
-                    session.isOpen() ? session.activity().candidate(nowMillis) : Optional.empty();
-            if (candidate.isPresent()
-                    && (lowest.isEmpty() || candidate.get().compareTo(lowest.get()) < 0)) {
-                first = session;
-                lowest = candidate;
-            }
-        }
-        if (first != null) {
-            first.close(CloseMode.IMMEDIATE);
-        }
-        return lowest;
+        Optional<CallerActivity.Closable<CloseDetectingSession>> first =
+                CallerActivity.firstToClose(
+                        mSessions.values(), session -> candidate(session, nowMillis));
+        first.ifPresent(found -> found.connection().close(CloseMode.IMMEDIATE));
+        return first.map(CallerActivity.Closable::candidate);
     }
 
     /**
@@ -64,11 +54,9 @@
         int count = 0;
         for (CloseDetectingSession session : mSessions.values()) {
             boolean isUnread =
-                    session.isOpen()
-                            && session.activity()
-                                    .candidate(nowMillis)
-                                    .filter(each -> each.reason() == Reason.UNREAD_RESPONSE)
-                                    .isPresent();
+                    candidate(session, nowMillis)
+                            .filter(each -> each.reason() == Reason.UNREAD_RESPONSE)
+                            .isPresent();
             if (isUnread) {
                 session.close(CloseMode.IMMEDIATE);
                 count++;
@@ -77,6 +65,11 @@
         return count;
     }
 
+    private static Optional<CallerActivity.Candidate> candidate(
+            CloseDetectingSession session, long nowMillis) {
+        return session.isOpen() ? session.activity().candidate(nowMillis) : Optional.empty();
+    }
+
     /** Returns what the connection from an address has done; nothing if it has already ended. */
     CallerActivity activityAt(SocketAddress address) {
         CloseDetectingSession session = address == null ? null : mSessions.get(address);
