Reject a response whose header names end with a blank

Callers saw: a 200 of a runner whose head has a blank or a tab as the last byte of a header name, or before its colon; the header was passed on under its name without the blank.

Cause: HttpCore's LazyLaxLineParser removes blanks before the colon, and the pattern by which ResponseLineParser checks the name allowed them, too.

Control characters inside, last in and after a name, and blanks inside it, were rejected before; their tests stay.

Why it works: the name has to be followed by its colon in the bytes that arrived, before anything is removed. The platform's connections and those of http/ share the parser. UnusualHeadTests holds that valid heads, also with blanks around values, are accepted.

ScriptedServer becomes a file of its own, for a second test class.

--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -9,15 +9,16 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Parses the lines of a response head and rejects a second status line inside one of them.
+ * Parses the lines of a response head and rejects invalid header names and a second status line
+ * inside a line.
  *
  * <p>If a peer breaks off a response inside a line of its head, the status line of its next
- * response continues that line. Immutable; safe for use by any thread if the listener is.
+ * response continues that line. HttpCore removes blanks before the colon of a header, and takes the
+ * rest for its name. Immutable; safe for use by any thread if the listener is.
  */
 public final class ResponseLineParser extends LazyLaxLineParser {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+(\\.\\d+)?\\s+\\d{3}");
-    private static final Pattern HEADER_NAME =
-            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+[ \t]*:");
+    private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:");
     private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
     private final Consumer<String> mMergedHeadsListener;
 
--- /dev/null
+++ b/src/test/java/org/vanilladoor/http/MalformedHeaderNameTests.java
@@ -0,0 +1,89 @@
+package org.vanilladoor.http;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.vanilladoor.transport.HeaderNameFault;
+
+/** Servers that send headers or trailers whose name contains a blank or a control character. */
+@Timeout(60)
+class MalformedHeaderNameTests {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final String OK = "HTTP/1.1 200 OK\r\nServer: s\r\nX-Own: 1\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+    private static final String CHUNK = "\r\n4\r\ndone\r\n0\r\n";
+    private final HttpConnectionPool mConnectionPool = HttpConnectionPool.create(TIMEOUT);
+
+    @AfterEach
+    void close() {
+        mConnectionPool.close();
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = HeaderNameFault.class,
+            names = {
+                "INSIDE",
+                "INSTEAD_OF_AN_INNER_CHARACTER",
+                "BEFORE_THE_LAST_CHARACTER",
+                "INSTEAD_OF_THE_LAST_CHARACTER",
+                "BEFORE_THE_COLON"
+            })
+    void aHeadWithAnInvalidHeaderNameIsNoResponse(HeaderNameFault fault) throws IOException {
+        for (char invalid : HeaderNameFault.INVALID_CHARACTERS) {
+            for (String name : List.of("Server", "X-Own", "Content-Length")) {
+                String response = OK + "Content-Length: 4\r\nX-Last: 2\r\n\r\ndone";
+                assertFails(fault, response, name, invalid);
+            }
+            for (String name : List.of("X-Own", "Transfer-Encoding")) {
+                assertFails(fault, OK + CHUNKED + CHUNK + "\r\n", name, invalid);
+            }
+            assertFails(fault, OK + "\r\ndone", "X-Own", invalid);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = HeaderNameFault.class,
+            names = {
+                "INSIDE",
+                "INSTEAD_OF_AN_INNER_CHARACTER",
+                "BEFORE_THE_LAST_CHARACTER",
+                "INSTEAD_OF_THE_LAST_CHARACTER",
+                "BEFORE_THE_COLON"
+            })
+    void anInterimResponseWithAnInvalidHeaderNameFailsTheCall(HeaderNameFault fault)
+            throws IOException {
+        String interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\nX-Interim: 1\r\n\r\n";
+        String response = interim + OK + "Content-Length: 4\r\n\r\ndone";
+        for (char invalid : HeaderNameFault.INVALID_CHARACTERS) {
+            assertFails(fault, response, "X-Interim", invalid);
+        }
+    }
+
+    private void assertFails(HeaderNameFault fault, String response, String name, char invalid)
+            throws IOException {
+        String malformed = fault.applyIn(response, name, invalid);
+        try (ScriptedServer server = new ScriptedServer(malformed, "", "")) {
+            server.closeAfterFirst();
+            assertWithMessage(fault.describe(name, invalid)).that(get(server)).isEqualTo("failure");
+        }
+    }
+
+    private String get(ScriptedServer server) {
+        try (HttpClientResponse response =
+                mConnectionPool.send(server.address(), HttpClientRequest.get("/"), TIMEOUT)) {
+            String body = new String(response.readAll(1_000), StandardCharsets.UTF_8);
+            return response.status() + " " + body;
+        } catch (IOException e) {
+            return "failure";
+        }
+    }
+}
--- a/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
+++ b/src/test/java/org/vanilladoor/http/StrayResponseBytesTests.java
@@ -3,22 +3,14 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.vanilladoor.common.HostPort;
-import org.vanilladoor.common.ThreadPools;
 
 /** Servers that send bytes that belong to no response on a connection that is kept. */
 @Timeout(60)
@@ -70,7 +62,7 @@
         try (ScriptedServer server = new ScriptedServer(last, "", FAILURE)) {
             get(server);
             get(server);
-            assertWithMessage("connections").that(server.mConnections).isEqualTo(2);
+            assertWithMessage("connections").that(server.connectionCount()).isEqualTo(2);
         }
     }
 
@@ -79,7 +71,7 @@
         String whole = "HTTP/1.1 200 OK\r\nX-First: 1\r\nContent-Length: 0\r\nX-Last: 2\r\n\r\n";
         for (int length = 0; length < whole.length(); length++) {
             try (ScriptedServer server = new ScriptedServer(whole.substring(0, length), "", "")) {
-                server.mClosesAfterFirst = true;
+                server.closeAfterFirst();
                 assertWithMessage("%s bytes", length).that(get(server)).isEqualTo("failure");
             }
         }
@@ -90,7 +82,7 @@
         String start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n";
         for (String size : List.of("", "0", "00", "0\r", "0\r\n")) {
             try (ScriptedServer server = new ScriptedServer(start + size, "", "")) {
-                server.mClosesAfterFirst = true;
+                server.closeAfterFirst();
                 assertWithMessage("chunk size %s", size).that(get(server)).isEqualTo("failure");
             }
         }
@@ -105,7 +97,7 @@
         for (String whole : List.of(chunked, withLength, withoutLength)) {
             for (int number = 0; number < 50; number++) {
                 try (ScriptedServer server = new ScriptedServer(whole, "", "")) {
-                    server.mClosesAfterFirst = true;
+                    server.closeAfterFirst();
                     assertWithMessage(whole).that(get(server)).isEqualTo("200 done");
                 }
             }
@@ -122,7 +114,7 @@
                 };
         try (server) {
             get(server);
-            server.mFirstServed.acquireUninterruptibly();
+            server.awaitFirstServed();
             return get(server);
         }
     }
@@ -150,87 +142,4 @@
                     : List.of("500 fail");
         }
     }
-
-    /** Sends one response to the first request, and another to each later one. */
-    private static final class ScriptedServer implements AutoCloseable {
-        private static final ExecutorService THREADS =
-                ThreadPools.newDaemonThreadPool("scripted-server");
-        private static final long STRAY_PAUSE_MILLIS = 5;
-        private final ServerSocket mServer =
-                new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        private final Semaphore mFirstServed = new Semaphore(0);
-        private final String mFirst;
-        private final String mStray;
-        private final String mSecond;
-        private volatile int mConnections;
-        private volatile boolean mClosesAfterFirst;
-
-        ScriptedServer(String first, String stray, String second) throws IOException {
-            mFirst = first;
-            mStray = stray;
-            mSecond = second;
-            THREADS.execute(this::accept);
-        }
-
-        HostPort address() {
-            return new HostPort("127.0.0.1", mServer.getLocalPort());
-        }
-
-        @Override
-        public void close() throws IOException {
-            mServer.close();
-        }
-
-        private void accept() {
-            while (!mServer.isClosed()) {
-                try {
-                    Socket socket = mServer.accept();
-                    boolean isFirst = mConnections == 0;
-                    mConnections++;
-                    THREADS.execute(() -> serve(socket, isFirst));
-                } catch (IOException e) {
-                    return;
-                }
-            }
-        }
-
-        private void serve(Socket socket, boolean isFirstConnection) {
-            try (socket) {
-                boolean isFirst = isFirstConnection;
-                while (readHead(socket.getInputStream())) {
-                    send(socket, isFirst ? mFirst : mSecond);
-                    if (mClosesAfterFirst) {
-                        return;
-                    }
-                    if (isFirst) {
-                        Thread.sleep(STRAY_PAUSE_MILLIS);
-                        send(socket, mStray);
-                        mFirstServed.release();
-                    }
-                    isFirst = false;
-                }
-            } catch (IOException e) {
-                // The client closed the connection.
-                return;
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
-        private static void send(Socket socket, String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-        }
-
-        private static boolean readHead(InputStream input) throws IOException {
-            StringBuilder head = new StringBuilder();
-            while (head.indexOf("\r\n\r\n") < 0) {
-                int next = input.read();
-                if (next < 0) {
-                    return false;
-                }
-                head.append((char) next);
-            }
-            return true;
-        }
-    }
 }
