Test each malformed prefill response with an engine of its own

An engine whose response is rejected gets no further prefill for a while, so that only the first of the responses was read. Each response now comes from a further engine, and the test checks that the engine was asked.

--- a/src/test/java/org/vanilladoor/platform/MalformedHeaderNameTests.java
+++ b/src/test/java/org/vanilladoor/platform/MalformedHeaderNameTests.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.platform;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import org.vanilladoor.engine.EngineRole;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
+import org.vanilladoor.platform.ScriptedEndpoint.Received;
 import org.vanilladoor.transport.HeaderNameFault;
 
 /** Responses in whose head the name of a header contains a blank or a control character. */
@@ -176,7 +178,6 @@
         assertThat(mForwarded).isEmpty();
     }
 
-    /** A separate prefill fails, after which the engine that runs the request prefills itself. */
     @ParameterizedTest
     @EnumSource(
             value = HeaderNameFault.class,
@@ -189,8 +190,6 @@
             })
     void aPrefillResponseWithAnInvalidHeaderNameNamesNoKvCache(HeaderNameFault fault)
             throws IOException {
-        endpoint(
-                "prefill-engine", EngineRole.PREFILL, received -> new Answer(mResponse, End.CLOSE));
         ScriptedEndpoint decode =
                 endpoint("e", received -> new Answer(OK + HEADERS + "\r\n" + EVENTS, End.CLOSE));
         String prefilled =
@@ -200,21 +199,31 @@
                         + "Content-Length: 18\r\n\r\n{\"kv_handle\":\"h1\"}";
         for (String name : List.of("Vanilladoor-Attempt-Id", "Content-Length")) {
             for (char invalid : HeaderNameFault.SOME_INVALID_CHARACTERS) {
-                mResponse = fault.applyIn(prefilled, name, invalid);
-                send(
-                        "POST",
-                        "/chat/x",
-                        "body",
-                        "secret",
-                        "Vanilladoor-Token-Count: 6000,2\r\nVanilladoor-Prompt-Prefix: a:6000\r\n");
-                if (decode.received().stream()
-                        .anyMatch(run -> !run.header("vanilladoor-kv-from").isEmpty())) {
-                    mForwarded.add(fault.describe(name, invalid));
-                    decode.received().clear();
-                }
+                String response = fault.applyIn(prefilled, name, invalid);
+                prefillAt(response, "engine with " + fault.describe(name, invalid));
             }
         }
-        assertThat(mForwarded).isEmpty();
+        assertThat(decode.received()).isNotEmpty();
+        for (Received run : decode.received()) {
+            assertThat(run.header("vanilladoor-kv-from")).isEmpty();
+        }
+    }
+
+    /** Sends a request with a long prompt, which a further engine prefills with this response. */
+    private void prefillAt(String response, String engineName) throws IOException {
+        ScriptedEndpoint engine =
+                endpoint(
+                        engineName,
+                        EngineRole.PREFILL,
+                        received -> new Answer(response, End.CLOSE));
+        send(
+                "POST",
+                "/chat/x",
+                "body",
+                "secret",
+                "Vanilladoor-Token-Count: 6000,2\r\nVanilladoor-Prompt-Prefix: a:6000\r\n");
+        removeEntry(engineName);
+        assertWithMessage(engineName).that(engine.received()).hasSize(1);
     }
 
     /** All characters for one of the names, which are treated alike otherwise. */
