End the lines of a response head only at a carriage return and a line feed

Callers saw: a 200 whose body was not the runner's. A line feed as the first byte of a header name ends the head there, and the rest of the head is forwarded as the start of the body, behind a Content-Length or up to the end of the connection. A single carriage return in place of the end of a line was passed on inside the value of a header.

Cause: HttpCore ends a line at a single line feed, whatever precedes it, and keeps carriage returns inside a line. What two readers take for different lines can't be checked line by line.

Why it works: the bytes of a response head go through LineAssembler, which has held the same rule for chunks, before HttpCore sees a line. Both places that read heads of responses use it. Requests are read as before.

--- a/src/main/java/org/vanilladoor/http/PooledConnection.java
+++ b/src/main/java/org/vanilladoor/http/PooledConnection.java
@@ -102,7 +102,8 @@
         public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream input)
                 throws IOException, HttpException {
             mBuffer = buffer;
-            ClassicHttpResponse head = mParser.parse(buffer, new EndlessInput(input));
+            ClassicHttpResponse head =
+                    mParser.parse(HeadBuffer.ofResponse(buffer), new EndlessInput(input));
             if (head != null) {
                 ResponseFraming.requireUnambiguous(head);
             }
--- a/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
+++ b/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
@@ -39,7 +39,7 @@
             Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t\\x20-\\x7E\\x80-\\xFF]*");
 
     private final int mMaximumLineBytes;
-    private final StringBuilder mLine = new StringBuilder();
+    private final LineAssembler mLine;
     private Position mPosition = Position.SIZE;
     private long mRemainingBytes;
     private long mContentBytes;
@@ -53,6 +53,7 @@
             int maximumLineBytes) {
         super(channel, buffer, metrics);
         mMaximumLineBytes = maximumLineBytes;
+        mLine = LineAssembler.create(maximumLineBytes, MalformedChunkCodingException::new);
     }
 
     /**
@@ -92,8 +93,7 @@
             if (mPosition == Position.DATA) {
                 count += readData(target);
             } else if (readLine()) {
-                endLine(mLine.toString());
-                mLine.setLength(0);
+                endLine(mLine.take());
             }
         }
         return isCompleted() && count == 0 ? -1 : count;
@@ -119,22 +119,11 @@
     }
 
     /** Reads up to the end of a line, and returns whether that has arrived. */
-    private boolean readLine() throws MalformedChunkCodingException {
+    private boolean readLine() throws IOException {
         while (buffer().hasData()) {
-            char next = (char) (buffer().read() & 0xFF);
-            int last = mLine.length() - 1;
-            boolean isAfterReturn = last >= 0 && mLine.charAt(last) == '\r';
-            if (isAfterReturn && next == '\n') {
-                mLine.setLength(last);
+            if (mLine.add(buffer().read() & 0xFF)) {
                 return true;
             }
-            if (isAfterReturn || next == '\n') {
-                throw new MalformedChunkCodingException("invalid end of a line");
-            }
-            if (mLine.length() >= mMaximumLineBytes) {
-                throw new MalformedChunkCodingException("a line is too long");
-            }
-            mLine.append(next);
         }
         return false;
     }
--- a/src/main/java/org/vanilladoor/transport/HeadInput.java
+++ b/src/main/java/org/vanilladoor/transport/HeadInput.java
@@ -14,7 +14,8 @@
  * Decorates the input of a parser and limits the size of a whole head; HttpCore limits only the
  * length of a line and the number of lines.
  *
- * <p>Confined to the I/O thread.
+ * <p>Invariant: a line of a response is passed on only as {@link LineAssembler} accepts it.
+ * Confined to the I/O thread.
  */
 final class HeadInput implements SessionInputBuffer {
     /** Maximum size of a head; those of callers and endpoints have less than a kilobyte. */
@@ -26,26 +27,31 @@
     private static final int LINE_OBJECT_BYTES = 256;
 
     private static final int CHARACTER_BYTES = 2;
+    private final LineReader mLineReader;
     private final LongPredicate mRoom;
     private SessionInputBuffer mBuffer;
     private int mHeadBytes;
     private int mLines;
 
-    private HeadInput(LongPredicate room) {
+    private HeadInput(LineReader lineReader, LongPredicate room) {
+        mLineReader = lineReader;
         mRoom = room;
     }
 
-    static HeadInput create() {
-        return charging(bytes -> true);
+    /** Returns an input that accepts only lines that a head of a response may contain. */
+    static HeadInput ofResponses() {
+        LineAssembler line = LineAssembler.ofHead(MAXIMUM_HEAD_BYTES);
+        return new HeadInput(
+                (buffer, target, endOfStream) -> readLine(buffer, line, target), bytes -> true);
     }
 
     /**
-     * Returns an input that charges what a head takes.
+     * Returns an input of requests that charges what a head takes.
      *
      * @param room whether a head may take that many bytes
      */
-    static HeadInput charging(LongPredicate room) {
-        return new HeadInput(room);
+    static HeadInput ofRequests(LongPredicate room) {
+        return new HeadInput(SessionInputBuffer::readLine, room);
     }
 
     /** Returns this object, which reads from the given buffer from now on. */
@@ -63,7 +69,7 @@
     @Override
     public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
         int lengthBefore = line.length();
-        boolean isComplete = mBuffer.readLine(line, endOfStream);
+        boolean isComplete = mLineReader.readLine(mBuffer, line, endOfStream);
         mHeadBytes += line.length() - lengthBefore + (isComplete ? LINE_END_BYTES : 0);
         if (mHeadBytes > MAXIMUM_HEAD_BYTES) {
             throw new MessageConstraintException("the head is too large");
@@ -77,6 +83,18 @@
         return isComplete;
     }
 
+    private static boolean readLine(
+            SessionInputBuffer buffer, LineAssembler line, CharArrayBuffer target)
+            throws IOException {
+        while (buffer.hasData()) {
+            if (line.add(buffer.read() & 0xFF)) {
+                target.append(line.take());
+                return true;
+            }
+        }
+        return false;
+    }
+
     private long heldBytes() {
         return CHARACTER_BYTES * (long) mHeadBytes + LINE_OBJECT_BYTES * (long) mLines;
     }
@@ -120,4 +138,11 @@
     public int read(WritableByteChannel target) throws IOException {
         return mBuffer.read(target);
     }
+
+    /** Reads a line, as far as it has arrived. */
+    private interface LineReader {
+        /** Appends a line that is complete to the target, and returns whether it is. */
+        boolean readLine(SessionInputBuffer buffer, CharArrayBuffer target, boolean endOfStream)
+                throws IOException;
+    }
 }
--- a/src/main/java/org/vanilladoor/transport/RequestParser.java
+++ b/src/main/java/org/vanilladoor/transport/RequestParser.java
@@ -23,7 +23,7 @@
     private RequestParser(NHttpMessageParser<HttpRequest> parser, RequestGate gate) {
         mParser = parser;
         mGate = gate;
-        mInput = HeadInput.charging(gate::tryHoldHead);
+        mInput = HeadInput.ofRequests(gate::tryHoldHead);
     }
 
     static RequestParser create(Http1Config config, RequestGate gate) {
--- a/src/main/java/org/vanilladoor/transport/ResponseParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseParser.java
@@ -18,7 +18,7 @@
 final class ResponseParser implements NHttpMessageParser<HttpResponse> {
     private final NHttpMessageParser<HttpResponse> mParser;
     private final ResponseBoundary mBoundary;
-    private final HeadInput mInput = HeadInput.create();
+    private final HeadInput mInput = HeadInput.ofResponses();
 
     private ResponseParser(NHttpMessageParser<HttpResponse> parser, ResponseBoundary boundary) {
         mParser = parser;
--- a/src/test/java/org/vanilladoor/http/MalformedHeaderNameTests.java
+++ b/src/test/java/org/vanilladoor/http/MalformedHeaderNameTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -68,12 +69,28 @@
         }
     }
 
+    @Test
+    void aHeadWithPartOfALineEndAnywhereIsNoResponse() throws IOException {
+        String response = OK + "Content-Length: 4\r\n\r\ndone";
+        int endOfHead = response.indexOf("done");
+        for (String insertion : List.of("\n", "\r")) {
+            for (int index = 1; index < endOfHead - 1; index++) {
+                assertIsNoResponse(
+                        response.substring(0, index) + insertion + response.substring(index),
+                        "end of a line at " + index);
+            }
+        }
+    }
+
     private void assertFails(HeaderNameFault fault, String response, String name, char invalid)
             throws IOException {
-        String malformed = fault.applyIn(response, name, invalid);
-        try (ScriptedServer server = new ScriptedServer(malformed, "", "")) {
+        assertIsNoResponse(fault.applyIn(response, name, invalid), fault.describe(name, invalid));
+    }
+
+    private void assertIsNoResponse(String bytes, String description) throws IOException {
+        try (ScriptedServer server = new ScriptedServer(bytes, "", "")) {
             server.closeAfterFirst();
-            assertWithMessage(fault.describe(name, invalid)).that(get(server)).isEqualTo("failure");
+            assertWithMessage(description).that(get(server)).isEqualTo("failure");
         }
     }
 
