Read chunks in http/ as strictly as on the platform's connections

Callers of the own interface saw: a 200 with a whole body although its trailers, or the size of a chunk, were not valid lines. Trailers could contain any byte in a name, or begin with a blank; sizes a sign or blanks around them.

Cause: HttpCore's ChunkedInputStream reads both leniently. The platform's connections have their own decoder; http/ had not.

Why it works: the framing is taken out of ChunkDecoder into ChunkFraming, which reads no input itself; ChunkDecoder and the new ChunkInputStream both use it, so that there is one set of rules.

--- a/src/main/java/org/vanilladoor/http/PooledConnection.java
+++ b/src/main/java/org/vanilladoor/http/PooledConnection.java
@@ -84,6 +84,9 @@
     @Override
     protected InputStream createContentInputStream(
             long length, SessionInputBuffer buffer, InputStream input) {
+        if (length == ContentLengthStrategy.CHUNKED) {
+            return ChunkInputStream.of(buffer, new EndlessInput(input));
+        }
         boolean endsWithConnection = length == ContentLengthStrategy.UNDEFINED;
         return super.createContentInputStream(
                 length, buffer, endsWithConnection ? input : new EndlessInput(input));
@@ -115,10 +118,7 @@
         }
     }
 
-    /**
-     * Fails at the end of the connection, which HttpCore takes for the end of a head or of a
-     * chunk's size.
-     */
+    /** Fails at the end of the connection, which HttpCore takes for the end of a head. */
     private static final class EndlessInput extends FilterInputStream {
         EndlessInput(InputStream input) {
             super(input);
--- a/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
+++ b/src/main/java/org/vanilladoor/transport/ChunkDecoder.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
@@ -12,39 +10,13 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 
 /**
- * Decodes a body in chunks exactly as RFC 9112, section 7.1, defines them.
+ * Decodes a body in chunks as {@link ChunkFraming} accepts them.
  *
- * <p>HttpCore's decoder also accepts signed and padded sizes, lines without a carriage return and
- * the end of the connection inside a size, which other programs delimit differently. Invariants:
- * only the last chunk and its trailers complete the body; the memory for lines, and the time for
- * chunks with hardly any content, are bounded. Trailers are checked and discarded. Confined to the
- * I/O thread.
+ * <p>HttpCore's decoder also accepts the end of the connection inside a size. Confined to the I/O
+ * thread.
  */
 final class ChunkDecoder extends AbstractContentDecoder {
-    private static final int HEXADECIMAL = 16;
-
-    /** Length of the ends of the two lines that enclose a chunk. */
-    private static final int LINE_ENDS_BYTES = 4;
-
-    /** Sizes and extensions beyond this must not be longer than the content by the factor. */
-    private static final long FREE_FRAMING_BYTES = 64 * 1024;
-
-    private static final long MAXIMUM_FRAMING_FACTOR = 4;
-
-    /** A size with optional extensions; 15 digits fit into a long. */
-    private static final Pattern SIZE_LINE =
-            Pattern.compile("([0-9A-Fa-f]{1,15})([ \\t]*;[\\t\\x20-\\x7E\\x80-\\xFF]*)?");
-
-    private static final Pattern TRAILER_LINE =
-            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t\\x20-\\x7E\\x80-\\xFF]*");
-
-    private final int mMaximumLineBytes;
-    private final LineAssembler mLine;
-    private Position mPosition = Position.SIZE;
-    private long mRemainingBytes;
-    private long mContentBytes;
-    private long mFramingBytes;
-    private int mTrailerBytes;
+    private final ChunkFraming mFraming;
 
     private ChunkDecoder(
             ReadableByteChannel channel,
@@ -52,8 +24,7 @@
             BasicHttpTransportMetrics metrics,
             int maximumLineBytes) {
         super(channel, buffer, metrics);
-        mMaximumLineBytes = maximumLineBytes;
-        mLine = LineAssembler.create(maximumLineBytes, MalformedChunkCodingException::new);
+        mFraming = ChunkFraming.create(maximumLineBytes);
     }
 
     /**
@@ -82,7 +53,7 @@
         int count = 0;
         // HttpCore reads beyond the window of a response as long as input is left in the buffer.
         boolean hasFilled = buffer().hasData();
-        while (!isCompleted() && (mPosition != Position.DATA || target.hasRemaining())) {
+        while (!isCompleted() && (mFraming.nextContentBytes() == 0 || target.hasRemaining())) {
             if (!buffer().hasData()) {
                 // One read, so that other connections have their turn.
                 if (hasFilled || !fill()) {
@@ -90,10 +61,10 @@
                 }
                 hasFilled = true;
             }
-            if (mPosition == Position.DATA) {
-                count += readData(target);
-            } else if (readLine()) {
-                endLine(mLine.take());
+            if (mFraming.nextContentBytes() > 0) {
+                count += readContent(target);
+            } else {
+                readFraming();
             }
         }
         return isCompleted() && count == 0 ? -1 : count;
@@ -108,70 +79,20 @@
         return count > 0;
     }
 
-    private int readData(ByteBuffer target) {
-        int count = buffer().read(target, (int) Math.min(mRemainingBytes, target.remaining()));
-        mRemainingBytes -= count;
-        mContentBytes += count;
-        if (mRemainingBytes == 0) {
-            mPosition = Position.DATA_END;
-        }
+    private int readContent(ByteBuffer target) {
+        int maximum = (int) Math.min(mFraming.nextContentBytes(), target.remaining());
+        int count = buffer().read(target, maximum);
+        mFraming.recordContent(count);
         return count;
     }
 
-    /** Reads up to the end of a line, and returns whether that has arrived. */
-    private boolean readLine() throws IOException {
-        while (buffer().hasData()) {
-            if (mLine.add(buffer().read() & 0xFF)) {
-                return true;
+    /** Reads the framing up to content or the end of the body, as far as it has arrived. */
+    private void readFraming() throws IOException {
+        while (buffer().hasData() && mFraming.nextContentBytes() == 0 && !isCompleted()) {
+            mFraming.add(buffer().read() & 0xFF);
+            if (mFraming.isComplete()) {
+                setCompleted();
             }
         }
-        return false;
-    }
-
-    private void endLine(String line) throws MalformedChunkCodingException {
-        switch (mPosition) {
-            case SIZE -> beginChunk(line);
-            case DATA_END -> endChunk(line);
-            default -> endTrailer(line);
-        }
-    }
-
-    private void beginChunk(String line) throws MalformedChunkCodingException {
-        Matcher matcher = SIZE_LINE.matcher(line);
-        if (!matcher.matches()) {
-            throw new MalformedChunkCodingException("invalid size of a chunk");
-        }
-        mFramingBytes += line.length() + LINE_ENDS_BYTES;
-        if (mFramingBytes > FREE_FRAMING_BYTES + MAXIMUM_FRAMING_FACTOR * mContentBytes) {
-            throw new MalformedChunkCodingException("the chunks have hardly any content");
-        }
-        mRemainingBytes = Long.parseLong(matcher.group(1), HEXADECIMAL);
-        mPosition = mRemainingBytes == 0 ? Position.TRAILERS : Position.DATA;
-    }
-
-    private void endChunk(String line) throws MalformedChunkCodingException {
-        if (!line.isEmpty()) {
-            throw new MalformedChunkCodingException("a chunk is longer than its size");
-        }
-        mPosition = Position.SIZE;
-    }
-
-    private void endTrailer(String line) throws MalformedChunkCodingException {
-        if (line.isEmpty()) {
-            setCompleted();
-            return;
-        }
-        mTrailerBytes += line.length();
-        if (mTrailerBytes > mMaximumLineBytes || !TRAILER_LINE.matcher(line).matches()) {
-            throw new MalformedChunkCodingException("invalid trailer");
-        }
-    }
-
-    /** What comes next. */
-    private enum Position {
-        SIZE,
-        DATA,
-        DATA_END,
-        TRAILERS
     }
 }
--- a/src/test/java/org/vanilladoor/http/MalformedHeaderNameTests.java
+++ b/src/test/java/org/vanilladoor/http/MalformedLineTests.java
@@ -11,11 +11,12 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.transport.HeaderNameFault;
 
-/** Servers that send headers or trailers whose name contains a blank or a control character. */
+/** Servers that send lines in a head, a chunk's size or the trailers that are not valid. */
 @Timeout(60)
-class MalformedHeaderNameTests {
+class MalformedLineTests {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final String OK = "HTTP/1.1 200 OK\r\nServer: s\r\nX-Own: 1\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
@@ -53,6 +54,23 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(HeaderNameFault.class)
+    void aBodyWithAnInvalidNameInItsTrailersIsNotComplete(HeaderNameFault fault)
+            throws IOException {
+        String response = OK + CHUNKED + CHUNK + "Expires: never\r\nX-Trailer: 1\r\n\r\n";
+        for (char invalid : HeaderNameFault.INVALID_CHARACTERS) {
+            assertFails(fault, response, "X-Trailer", invalid);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"+4", "-4", " 4", "4 ", "0x4", "4\u000B", ""})
+    void aBodyWithAnInvalidSizeOfAChunkIsNotComplete(String size) throws IOException {
+        String response = OK + CHUNKED + "\r\n" + size + "\r\ndone\r\n0\r\n\r\n";
+        assertIsNoResponse(response, "size " + size);
+    }
+
     @Test
     void aHeadWithPartOfALineEndAnywhereIsNoResponse() throws IOException {
         String response = OK + "Content-Length: 4\r\n\r\ndone";
