Reject a response with a control character in the value of a header

Callers saw: a 200 with a NUL or another control character in a header's value, passed on as it came. Such a value is not valid (RFC 9110, section 5.5); readers end it at different places or refuse it.

Cause: only the name of a header was checked, by a pattern of its own; the one for trailers already covered both.

Why it works: HeaderLine is now the only form of a header, for heads and trailers, on the platform's connections and in http/.

--- a/src/main/java/org/vanilladoor/transport/ChunkFraming.java
+++ b/src/main/java/org/vanilladoor/transport/ChunkFraming.java
@@ -29,9 +29,6 @@
     private static final Pattern SIZE_LINE =
             Pattern.compile("([0-9A-Fa-f]{1,15})([ \\t]*;[\\t\\x20-\\x7E\\x80-\\xFF]*)?");
 
-    private static final Pattern TRAILER_LINE =
-            Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t\\x20-\\x7E\\x80-\\xFF]*");
-
     private final int mMaximumLineBytes;
     private final LineAssembler mLine;
     private Position mPosition = Position.SIZE;
@@ -120,7 +117,7 @@
             return;
         }
         mTrailerBytes += line.length();
-        if (mTrailerBytes > mMaximumLineBytes || !TRAILER_LINE.matcher(line).matches()) {
+        if (mTrailerBytes > mMaximumLineBytes || !HeaderLine.isValid(line)) {
             throw new MalformedChunkCodingException("invalid trailer");
         }
     }
--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -9,8 +9,8 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Parses the lines of a response head and rejects invalid header names and a second status line
- * inside a line.
+ * Parses the lines of a response head and rejects invalid headers and a second status line inside a
+ * line.
  *
  * <p>If a peer breaks off a response inside a line of its head, the status line of its next
  * response continues that line. HttpCore removes blanks before the colon of a header, and takes the
@@ -18,7 +18,6 @@
  */
 public final class ResponseLineParser extends LazyLaxLineParser {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+(\\.\\d+)?\\s+\\d{3}");
-    private static final Pattern HEADER_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+:");
     private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
     private final Consumer<String> mMergedHeadsListener;
 
@@ -44,11 +43,10 @@
     @Override
     public Header parseHeader(CharArrayBuffer buffer) throws ParseException {
         requireNoStatusLine(buffer, 0);
-        Header header = super.parseHeader(buffer);
-        if (!HEADER_NAME.matcher(buffer).lookingAt()) {
-            throw new ParseException("invalid header name");
+        if (!HeaderLine.isValid(buffer)) {
+            throw new ParseException("invalid header");
         }
-        return header;
+        return super.parseHeader(buffer);
     }
 
     private void requireNoStatusLine(CharArrayBuffer line, int start) throws ParseException {
--- a/src/test/java/org/vanilladoor/http/MalformedLineTests.java
+++ b/src/test/java/org/vanilladoor/http/MalformedLineTests.java
@@ -54,6 +54,13 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"\0", "a\0b", "\u0001", "a\u001B", "\u007F"})
+    void aHeadWithAControlCharacterInAValueIsNoResponse(String value) throws IOException {
+        String response = OK + "X-Last: " + value + "\r\nContent-Length: 4\r\n\r\ndone";
+        assertIsNoResponse(response, "a control character in a value");
+    }
+
     @ParameterizedTest
     @EnumSource(HeaderNameFault.class)
     void aBodyWithAnInvalidNameInItsTrailersIsNotComplete(HeaderNameFault fault)
--- a/src/test/java/org/vanilladoor/platform/HeadLineTests.java
+++ b/src/test/java/org/vanilladoor/platform/HeadLineTests.java
@@ -4,15 +4,17 @@
 
 import java.io.IOException;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.End;
 
-/** Responses whose head contains the end or the continuation of a line where none belongs. */
+/** Responses whose head contains lines that are not valid. */
 @Timeout(60)
 class HeadLineTests extends GatewayFixture {
+    private static final int DELETE = 0x7F;
     private static final String EVENT = "id: 1\ndata: one\n\n";
 
     private static final String HEAD =
@@ -77,10 +79,25 @@
         }
     }
 
-    private void assertIsRejected(String path, int index) throws IOException {
+    @Test
+    void aHeadWithAControlCharacterInAValueIsNotForwarded() throws IOException {
+        endpoint("e", received -> new Answer(mResponse, End.CLOSE));
+        for (String body : FRAMED_BODIES) {
+            for (int invalid = 0; invalid <= DELETE; invalid++) {
+                if (invalid != '\t' && (invalid < ' ' || invalid == DELETE)) {
+                    for (String value : List.of("%c1", "1%c1", "1%c", "%c")) {
+                        String header = "X-Own: " + String.format(value, invalid);
+                        mResponse = HEAD.replace("X-Own: 1", header) + body;
+                        assertIsRejected("/once/x", invalid);
+                        assertIsRejected("/chat/x", invalid);
+                    }
+                }
+            }
+        }
+    }
+
+    private void assertIsRejected(String path, int change) throws IOException {
         String response = call("POST", path, "body");
-        assertWithMessage("%s, change at %s", path, index)
-                .that(response)
-                .startsWith("HTTP/1.1 502");
+        assertWithMessage("%s, change %s", path, change).that(response).startsWith("HTTP/1.1 502");
     }
 }
