--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -68,6 +68,9 @@
     /** Admission within the teams' allowances; set before the gateway starts. */
     AllowanceControl mAllowances = AllowanceControl.UNLIMITED;
 
+    /** Maximum size of a request's body; set before the gateway starts. */
+    int mMaximumBodyBytes = 1_000;
+
     /** Whether the configuration is confirmed before each request, as by a store that answers. */
     boolean mConfirmsConfiguration = true;
 
@@ -107,7 +110,7 @@
                         mControl,
                         mMemory,
                         8_192,
-                        () -> 1_000,
+                        () -> mMaximumBodyBytes,
                         mGateway::handle);
     }
 
@@ -138,13 +141,18 @@
     /** Adds an endpoint of this test to the endpoints that the gateway knows. */
     ScriptedEndpoint register(String name, EngineRole role, ScriptedEndpoint endpoint) {
         mEndpoints.add(endpoint);
+        registerAddress(name, role, endpoint.address());
+        return endpoint;
+    }
+
+    /** Adds an address to the endpoints that the gateway knows. */
+    void registerAddress(String name, EngineRole role, HostPort address) {
         mControl.submit(
                         () -> {
-                            mDirectory.put(Endpoints.at(name, "a", role, endpoint.address()));
+                            mDirectory.put(Endpoints.at(name, "a", role, address));
                             return null;
                         })
                 .join();
-        return endpoint;
     }
 
     /** Starts an engine that prefills every prompt and gives the same handle to each KV cache. */
--- a/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
+++ b/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -14,6 +15,9 @@
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
@@ -22,10 +26,11 @@
 import org.vanilladoor.provider.StoreUnavailableException;
 import org.vanilladoor.transport.ConnectionPool;
 import org.vanilladoor.transport.ConnectionUse;
+import org.vanilladoor.transport.HeaderNameFault;
 
 /**
- * Guards against responses to this system's own calls that never end, and against taking the second
- * copy of a caller's response for the response to such a call.
+ * Guards against responses to this system's own calls that are not valid or never end, and against
+ * taking the second copy of a caller's response for the response to such a call.
  */
 class PlatformCallsTests {
     /** Longer than any of the failures takes; a call that only times out fails the test. */
@@ -66,6 +71,26 @@
         assertFails(received -> Answer.endless("", KILOBYTE));
     }
 
+    @ParameterizedTest
+    @EnumSource(HeaderNameFault.class)
+    void anInvalidHeaderNameFailsTheCall(HeaderNameFault fault) throws Exception {
+        String response = OK + "Server: s\r\nX-Own: 1\r\nContent-Length: 2\r\n\r\n{}";
+        for (char invalid : HeaderNameFault.SOME_INVALID_CHARACTERS) {
+            for (String name : List.of("X-Own", "Content-Length")) {
+                String malformed = fault.applyIn(response, name, invalid);
+                assertFails(received -> new Answer(malformed, End.CLOSE));
+                mPeer.close();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "0200", "2000", "20", "+20", "2 0", ""})
+    void anInvalidStatusFailsTheCall(String status) throws Exception {
+        String response = "HTTP/1.1 " + status + " Status\r\nContent-Length: 2\r\n\r\n{}";
+        assertFails(received -> new Answer(response, End.CLOSE));
+    }
+
     @Test
     void aCallersResponseIsNotTakenForTheResponseToAnOrder() throws Exception {
         assertFails(
--- /dev/null
+++ b/src/test/java/org/vanilladoor/platform/ResetUploadTests.java
@@ -0,0 +1,56 @@
+package org.vanilladoor.platform;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.vanilladoor.engine.EngineRole;
+import org.vanilladoor.transport.ResettingPeer;
+import org.vanilladoor.transport.ResettingPeer.Reset;
+
+/** Endpoints that respond to a long upload at once and reset the connection meanwhile. */
+@Timeout(120)
+class ResetUploadTests extends GatewayFixture {
+    private static final int REPETITIONS = 5;
+    private static final int BODY_BYTES = 4_000_000;
+    private static final String END_OF_CHUNKS = "\r\n0\r\n\r\n";
+    private static final String EVENT = "id: 1\ndata: one\n\n";
+
+    private static final String HEAD =
+            "HTTP/1.1 200 OK\r\nVanilladoor-Attempt-Id: id-1\r\nVanilladoor-Stamp: proof\r\n"
+                    + "Content-Type: text/event-stream\r\n";
+
+    ResetUploadTests() {
+        mMaximumBodyBytes = BODY_BYTES;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Reset.class)
+    void aResponseWithoutLengthThatIsResetIsNotComplete(Reset reset) throws IOException {
+        for (String rest : List.of("\r\n", "Connection: close\r\n\r\n")) {
+            for (String body : List.of("", EVENT, EVENT.repeat(1_000))) {
+                try (ResettingPeer peer = ResettingPeer.start(HEAD + rest + body, reset)) {
+                    registerAddress("e", EngineRole.DECODE, peer.address());
+                    for (int repetition = 0; repetition < REPETITIONS; repetition++) {
+                        assertIsNotComplete("/once/x");
+                        assertIsNotComplete("/safe/x");
+                        assertIsNotComplete("/chat/x");
+                        assertIsNotComplete("/resume/x");
+                    }
+                    removeEntry("e");
+                }
+            }
+        }
+    }
+
+    private void assertIsNotComplete(String path) throws IOException {
+        String response = call("POST", path, "b".repeat(BODY_BYTES));
+        assertWithMessage(path).that(response).doesNotContain(END_OF_CHUNKS);
+        if (!path.startsWith("/chat") && !path.startsWith("/resume")) {
+            assertWithMessage(path).that(response).startsWith("HTTP/1.1 50");
+        }
+    }
+}
