Fail a call in http/ whose response has a status below 100

A response with status 000 made HttpConnectionPool.send fail with an IllegalArgumentException of HttpCore's response object instead of the IOException that its callers handle, so that a relay of the own interface did not go on as after any other broken response.

Evidence: MalformedLineTests.aHeadWithAnInvalidStatusIsNoResponse, 1 of 10 failed before with "Status code must not be negative or zero: 0"; all pass now.

Why it works: ResponseLineParser rejects a status below 100, so that no response object is made from it. On the platform's connections such a call failed before, too (InvalidStatusTests).

--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -3,14 +3,15 @@
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.message.LazyLaxLineParser;
 import org.apache.hc.core5.http.message.StatusLine;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Parses the lines of a response head and rejects invalid headers and a second status line inside a
- * line.
+ * Parses the lines of a response head and rejects statuses below 100, invalid headers and a second
+ * status line inside a line.
  *
  * <p>If a peer breaks off a response inside a line of its head, the status line of its next
  * response continues that line. HttpCore removes blanks before the colon of a header, and takes the
@@ -37,7 +38,11 @@
     @Override
     public StatusLine parseStatusLine(CharArrayBuffer buffer) throws ParseException {
         requireNoStatusLine(buffer, 1);
-        return super.parseStatusLine(buffer);
+        StatusLine statusLine = super.parseStatusLine(buffer);
+        if (statusLine.getStatusCode() < HttpStatus.SC_CONTINUE) {
+            throw new ParseException("invalid status " + statusLine.getStatusCode());
+        }
+        return statusLine;
     }
 
     @Override
--- a/src/test/java/org/vanilladoor/http/MalformedLineTests.java
+++ b/src/test/java/org/vanilladoor/http/MalformedLineTests.java
@@ -71,6 +71,15 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "001", "099", "0200", "2000", "20", "+20", "-20", "2 0", ""})
+    void aHeadWithAnInvalidStatusIsNoResponse(String status) throws IOException {
+        String head = "HTTP/1.1 " + status + " Status\r\n";
+        String response = OK + "Content-Length: 4\r\n\r\ndone";
+        assertIsNoResponse(head + "Content-Length: 4\r\n\r\ndone", status);
+        assertIsNoResponse(head + "\r\n" + response, status + " before a success");
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"+4", "-4", " 4", "4 ", "0x4", "4\u000B", ""})
     void aBodyWithAnInvalidSizeOfAChunkIsNotComplete(String size) throws IOException {
