Fuzz responses with an invalid byte inside a header

ByteFaultFuzzTests put noise before, behind and between responses, and cut, repeated, merged and swapped them, but changed no byte inside a head: a strict reader could not tell for most values. The new fault inserts a NUL, line feed, carriage return, escape or delete at any place of the headers, where none of them may stand.

--- a/src/test/java/org/vanilladoor/platform/ByteFault.java
+++ b/src/test/java/org/vanilladoor/platform/ByteFault.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.platform;
 
+import java.util.EnumSet;
 import java.util.List;
 import org.vanilladoor.platform.FramedResponse.Framing;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
@@ -184,8 +185,27 @@
         Answer apply(FramedResponse response, String earlier, Place place) {
             return new Answer(place.of(INTERIMS) + response.text(), End.KEEP);
         }
+    },
+    INVALID_BYTE_IN_A_HEADER {
+        @Override
+        Answer apply(FramedResponse response, String earlier, Place place) {
+            String head = response.wholeHead();
+            int firstHeader = head.indexOf("\r\n") + 2;
+            String start =
+                    head.substring(0, firstHeader)
+                            // A line feed inside the last line end would only end the head.
+                            + place.cut(head.substring(firstHeader, head.length() - 2));
+            String rest = response.text().substring(start.length());
+            return new Answer(start + place.secondOf(INVALID_BYTES) + rest, End.KEEP);
+        }
     };
 
+    /** All but those that were added later, so that a seed goes on choosing the same faults. */
+    static final List<ByteFault> CHOSEN_BY_SEEDS =
+            List.copyOf(EnumSet.range(NONE, INTERIM_RESPONSES));
+
+    private static final List<String> INVALID_BYTES = List.of("\0", "\n", "\r", "\33", "\177");
+
     private static final List<String> NOISES =
             List.of(
                     "\0\1\2\377",
@@ -291,6 +311,10 @@
             return choices.get(first % choices.size());
         }
 
+        <T> T secondOf(List<T> choices) {
+            return choices.get(second % choices.size());
+        }
+
         private static String start(String text, int part) {
             return text.substring(
                     0, Math.min(text.length(), 1 + (text.length() - 1) * part / (PARTS - 1)));
--- a/src/test/java/org/vanilladoor/platform/ByteFaultFuzzTests.java
+++ b/src/test/java/org/vanilladoor/platform/ByteFaultFuzzTests.java
@@ -84,6 +84,12 @@
         assertKeepsPromises(2, steps);
     }
 
+    @Property(tries = 150, seed = "2805")
+    void aResponseWithAnInvalidHeaderIsNeitherASuccessNorARefusal(
+            @ForAll("invalidHeaderSteps") List<Step> steps) throws IOException {
+        assertKeepsPromises(1, steps);
+    }
+
     private static void assertKeepsPromises(int endpointCount, List<Step> steps)
             throws IOException {
         assertWithMessage("%s", steps).that(ByteFaultFuzz.run(endpointCount, steps)).isEmpty();
@@ -127,7 +133,16 @@
                                         ByteFault.CUT_THEN_CLOSE,
                                         ByteFault.CUT_THEN_RESET,
                                         ByteFault.REPEAT_BETWEEN_CHUNKS)),
-                        Tuple.of(1, Arbitraries.of(ByteFault.values()))));
+                        Tuple.of(1, Arbitraries.of(ByteFault.CHOSEN_BY_SEEDS))));
+    }
+
+    @Provide
+    static Arbitrary<List<Step>> invalidHeaderSteps() {
+        return steps(
+                List.of(Kind.values()),
+                outcomes(),
+                List.of(Framing.LENGTH, Framing.CHUNKED),
+                Arbitraries.of(ByteFault.NONE, ByteFault.INVALID_BYTE_IN_A_HEADER));
     }
 
     private static Arbitrary<List<Step>> steps(
