Release the memory of a head line once it is taken

A LineAssembler lives as long as its connection to an endpoint, and kept the buffer of its longest line, up to 64 KB. Each line has a buffer of its own now.

--- a/src/main/java/org/vanilladoor/transport/LineAssembler.java
+++ b/src/main/java/org/vanilladoor/transport/LineAssembler.java
@@ -8,13 +8,15 @@
  * Assembles a line of a message from its bytes.
  *
  * <p>HttpCore also ends a line at a single line feed, so that one inside a header name would end
- * the line, or the head, before it. Invariants: a line ends with a carriage return and a line feed,
- * and contains neither; its length is bounded. Confined to one thread.
+ * the line, or the head, before it. It appends a line that begins with a blank to the header before
+ * it, so that the header of that line is lost. Invariants: a line ends with a carriage return and a
+ * line feed, and contains neither; it does not begin with a blank; its length is bounded. Confined
+ * to one thread.
  */
 public final class LineAssembler {
     private final int mMaximumBytes;
     private final Function<String, IOException> mFailures;
-    private final StringBuilder mText = new StringBuilder();
+    private StringBuilder mText = new StringBuilder();
 
     private LineAssembler(int maximumBytes, Function<String, IOException> failures) {
         mMaximumBytes = maximumBytes;
@@ -27,7 +29,7 @@
      * @param maximumBytes maximum length of a line without its end
      * @param failures creates the exception for a line that is not valid
      */
-    public static LineAssembler create(int maximumBytes, Function<String, IOException> failures) {
+    static LineAssembler create(int maximumBytes, Function<String, IOException> failures) {
         return new LineAssembler(maximumBytes, failures);
     }
 
@@ -45,7 +47,7 @@
      *
      * @param next the byte, as a number from 0 to 255
      * @return whether it completes the line
-     * @throws IOException if the line is too long or its end is not valid
+     * @throws IOException if the line is too long, begins with a blank, or its end is not valid
      */
     public boolean add(int next) throws IOException {
         int last = mText.length() - 1;
@@ -70,7 +72,8 @@
     /** Returns the line without its end, and begins the next one. */
     public String take() {
         String line = mText.toString();
-        mText.setLength(0);
+        // A long line would otherwise keep its memory for as long as the connection is open.
+        mText = new StringBuilder();
         return line;
     }
 }
