Check that uploads reach the peer that resets them

ResetUploadTests of the gateway took any status from 500 on, so that a 503 to a request that was never sent, after the failures before it, would have passed, and so would a stream with any other status. Now each upload has to reach the peer, a plain one has to end with 502, and a stream with 502 or cut off, with or without its start.

--- a/src/test/java/org/vanilladoor/platform/ResetUploadTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResetUploadTests.java
@@ -17,6 +17,10 @@
     private static final int REPETITIONS = 5;
     private static final int BODY_BYTES = 4_000_000;
     private static final String END_OF_CHUNKS = "\r\n0\r\n\r\n";
+
+    /** A stream that is cut off may have sent nothing so far. */
+    private static final String FAILED_OR_CUT_OFF = "(?s)(HTTP/1\\.1 (200|502) .*)?";
+
     private static final String EVENT = "id: 1\ndata: one\n\n";
 
     private static final String HEAD =
@@ -35,10 +39,10 @@
                 try (ResettingPeer peer = ResettingPeer.start(HEAD + rest + body, reset)) {
                     registerAddress("e", EngineRole.DECODE, peer.address());
                     for (int repetition = 0; repetition < REPETITIONS; repetition++) {
-                        assertIsNotComplete("/once/x");
-                        assertIsNotComplete("/safe/x");
-                        assertIsNotComplete("/chat/x");
-                        assertIsNotComplete("/resume/x");
+                        assertFails(peer, "/once/x");
+                        assertFails(peer, "/safe/x");
+                        assertFailsOrIsCutOff(peer, "/chat/x");
+                        assertFailsOrIsCutOff(peer, "/resume/x");
                     }
                     removeEntry("e");
                 }
@@ -46,11 +50,21 @@
         }
     }
 
-    private void assertIsNotComplete(String path) throws IOException {
-        String response = call("POST", path, "b".repeat(BODY_BYTES));
+    private void assertFails(ResettingPeer peer, String path) throws IOException {
+        assertWithMessage(path).that(upload(peer, path)).startsWith("HTTP/1.1 502");
+    }
+
+    private void assertFailsOrIsCutOff(ResettingPeer peer, String path) throws IOException {
+        String response = upload(peer, path);
+        assertWithMessage(path).that(response).matches(FAILED_OR_CUT_OFF);
         assertWithMessage(path).that(response).doesNotContain(END_OF_CHUNKS);
-        if (!path.startsWith("/chat") && !path.startsWith("/resume")) {
-            assertWithMessage(path).that(response).startsWith("HTTP/1.1 50");
-        }
+    }
+
+    /** Sends a request, which the peer has to get, and returns what the caller got. */
+    private String upload(ResettingPeer peer, String path) throws IOException {
+        int responsesBefore = peer.responseCount();
+        String response = call("POST", path, "b".repeat(BODY_BYTES));
+        assertWithMessage(path).that(peer.responseCount()).isGreaterThan(responsesBefore);
+        return response;
     }
 }
--- a/src/test/java/org/vanilladoor/transport/ResettingPeer.java
+++ b/src/test/java/org/vanilladoor/transport/ResettingPeer.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.ThreadPools;
 
@@ -26,6 +27,7 @@
     private final ServerSocket mServer = new ServerSocket();
     private final String mResponse;
     private final Reset mReset;
+    private final AtomicInteger mResponses = new AtomicInteger();
 
     private ResettingPeer(String response, Reset reset) throws IOException {
         mResponse = response;
@@ -46,6 +48,11 @@
         return new HostPort("127.0.0.1", mServer.getLocalPort());
     }
 
+    /** Returns the number of responses that the peer has begun to send. */
+    public int responseCount() {
+        return mResponses.get();
+    }
+
     @Override
     public void close() throws IOException {
         mServer.close();
@@ -73,6 +80,7 @@
                 }
                 head.append((char) next);
             }
+            mResponses.incrementAndGet();
             socket.getOutputStream().write(mResponse.getBytes(StandardCharsets.US_ASCII));
             input.skipNBytes(mReset.mReadBytes);
             Thread.sleep(mReset.mPauseMillis);
