Check that each reset upload is cut by its reset

ResetUploadTests in transport and http accepted any failure, also of an upload that never reached the peer; now the peer has to have responded to each. In the gateway the long stream repeated one event, and was cut off for its order of events instead of the reset; its events now follow each other.

--- a/src/test/java/org/vanilladoor/http/ResetUploadTests.java
+++ b/src/test/java/org/vanilladoor/http/ResetUploadTests.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.http;
 
+import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -29,7 +30,9 @@
             for (int repetition = 0; repetition < REPETITIONS; repetition++) {
                 for (int bodyBytes : BODY_BYTES) {
                     HttpClientRequest upload = HttpClientRequest.postOnce("/", new byte[bodyBytes]);
+                    int responsesBefore = peer.responseCount();
                     assertThrows(IOException.class, () -> read(pool, peer, upload));
+                    assertThat(peer.responseCount()).isGreaterThan(responsesBefore);
                 }
             }
         }
--- a/src/test/java/org/vanilladoor/platform/ResetUploadTests.java
+++ b/src/test/java/org/vanilladoor/platform/ResetUploadTests.java
@@ -4,6 +4,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -21,8 +23,6 @@
     /** A stream that is cut off may have sent nothing so far. */
     private static final String FAILED_OR_CUT_OFF = "(?s)(HTTP/1\\.1 (200|502) .*)?";
 
-    private static final String EVENT = "id: 1\ndata: one\n\n";
-
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nVanilladoor-Attempt-Id: id-1\r\nVanilladoor-Stamp: proof\r\n"
                     + "Content-Type: text/event-stream\r\n";
@@ -35,7 +35,7 @@
     @EnumSource(Reset.class)
     void aResponseWithoutLengthThatIsResetIsNotComplete(Reset reset) throws IOException {
         for (String rest : List.of("\r\n", "Connection: close\r\n\r\n")) {
-            for (String body : List.of("", EVENT, EVENT.repeat(1_000))) {
+            for (String body : List.of("", events(1), events(1_000))) {
                 try (ResettingPeer peer = ResettingPeer.start(HEAD + rest + body, reset)) {
                     registerAddress("e", EngineRole.DECODE, peer.address());
                     for (int repetition = 0; repetition < REPETITIONS; repetition++) {
@@ -60,6 +60,12 @@
         assertWithMessage(path).that(response).doesNotContain(END_OF_CHUNKS);
     }
 
+    private static String events(int count) {
+        return IntStream.rangeClosed(1, count)
+                .mapToObj("id: %d\ndata: event\n\n"::formatted)
+                .collect(Collectors.joining());
+    }
+
     /** Sends a request, which the peer has to get, and returns what the caller got. */
     private String upload(ResettingPeer peer, String path) throws IOException {
         int responsesBefore = peer.responseCount();
--- a/src/test/java/org/vanilladoor/transport/ResetUploadTests.java
+++ b/src/test/java/org/vanilladoor/transport/ResetUploadTests.java
@@ -41,9 +41,13 @@
         try (ResettingPeer peer = ResettingPeer.start(RESPONSE, reset)) {
             for (int repetition = 0; repetition < REPETITIONS; repetition++) {
                 for (int bodyBytes : BODY_BYTES) {
+                    int responsesBefore = peer.responseCount();
                     assertWithMessage("%s bytes, repetition %s", bodyBytes, repetition)
                             .that(send(peer, bodyBytes).get(WAIT_SECONDS, TimeUnit.SECONDS))
                             .isNotEqualTo(COMPLETE);
+                    assertWithMessage("%s bytes, repetition %s", bodyBytes, repetition)
+                            .that(peer.responseCount())
+                            .isGreaterThan(responsesBefore);
                 }
             }
         }
