End a request whenever a step of its response fails

Callers saw neither a response nor a close when an unexpected exception was thrown while their response was being sent; the request kept its place, its connection and its entry in the gateway for good, and each later stop of the process took the whole grace period.

Cause: CallerResponse counted as ended, and its time limit was cancelled, before the last step was taken, and FrontExchange.send handled two kinds of exception. Any other one ended the task of the control thread.

Change: every event of a request (start, admission, call, timers, turn in the queue, crash check, stop, disconnect) runs through RequestExecution.runStep, which ends the request after a failure of any kind: 502 if nothing was sent, a closed connection otherwise, and one log line with the identifier. A response counts as ended only after its last step. FrontExchange closes the connection when any step of sending fails and reports that to the sender. What gives places back (load of endpoints, waiting requests, allowances, open requests, pooled connections) runs whatever else fails.

Ruled out: catching the exception in FrontExchange alone, which leaves the failures in decoding heads, counting and accounting.

--- a/src/main/java/org/vanilladoor/gateway/CallerResponse.java
+++ b/src/main/java/org/vanilladoor/gateway/CallerResponse.java
@@ -12,9 +12,9 @@
  *
  * <p>Invariants: a response ends exactly once. Before its first part it may end with any whole
  * response; after that only more of it follows, until it is completed or cut off. An end that is no
- * longer possible becomes a cut, so that the caller sees one in any case. Its time limit ends with
- * it. A stopping process asks its callers to close their connections. Confined to the control
- * thread.
+ * longer possible becomes a cut, so that the caller sees one in any case. A response counts as
+ * ended, and its time limit ends, only once its last step has been taken. A stopping process asks
+ * its callers to close their connections. Confined to the control thread.
  */
 final class CallerResponse {
     private final GatewayContext mContext;
@@ -119,11 +119,33 @@
         return head;
     }
 
-    private End end(End end, Runnable sending) {
+    /**
+     * Ends after an unexpected failure: with a refusal if nothing has been sent, otherwise by
+     * closing the connection.
+     */
+    End fail(Throwable failure) {
+        if (mState == State.NOT_STARTED) {
+            try {
+                refuse(Refusal.OUTCOME_UNKNOWN, 0);
+            } catch (RuntimeException | Error e) {
+                failure.addSuppressed(e);
+            }
+        }
+        return isEnded() ? End.failed(failure) : end(End.failed(failure), mExchange::abort);
+    }
+
+    /** Ends with a last step, or, if that fails, by closing the connection. */
+    private End end(End intended, Runnable lastStep) {
         requireNotEnded();
+        End end = intended;
+        try {
+            lastStep.run();
+        } catch (RuntimeException | Error e) {
+            end = End.failed(e);
+            mExchange.abort();
+        }
         mState = State.ENDED;
         mTimeLimit.cancel();
-        sending.run();
         return end;
     }
 
@@ -148,6 +170,11 @@
         /** The caller had disconnected. */
         static final End ABANDONED = new End("abandoned");
 
+        /** Returns the end of a response after an unexpected failure. */
+        static End failed(Throwable failure) {
+            return new End("failed." + failure.getClass().getSimpleName());
+        }
+
         /** Returns the end of a response that states why the request was refused. */
         static End refused(Refusal refusal) {
             return new End("refused." + refusal);
--- a/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.apache.hc.core5.http.HttpResponse;
 import org.vanilladoor.common.ControlLoop;
+import org.vanilladoor.common.FailureCollector;
 import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.CallCost;
@@ -64,21 +65,29 @@
             Listener listener) {
         EndpointExchange exchange = new EndpointExchange(context, request, call, cost, listener);
         context.placement().recordStart(call.endpoint());
-        context.placement().recordSent(call.endpoint(), MonotonicClock.nowMillis());
-        exchange.startLoad();
-        exchange.mOutgoingCall =
-                context.connections()
-                        .send(
-                                call.endpoint().address(),
-                                context.callHistory()
-                                        .record(request.identifier(), call.endpoint().address()),
-                                connectTimeoutMillis,
-                                context.wireFormat().encodeCall(request, call),
-                                request.body(),
-                                exchange);
+        try {
+            context.placement().recordSent(call.endpoint(), MonotonicClock.nowMillis());
+            exchange.startLoad();
+            exchange.mOutgoingCall = exchange.open(connectTimeoutMillis);
+        } catch (RuntimeException | Error e) {
+            exchange.tryEnd();
+            throw e;
+        }
         return exchange;
     }
 
+    private OutgoingCall open(long connectTimeoutMillis) {
+        return mContext.connections()
+                .send(
+                        mCall.endpoint().address(),
+                        mContext.callHistory()
+                                .record(mRequest.identifier(), mCall.endpoint().address()),
+                        connectTimeoutMillis,
+                        mContext.wireFormat().encodeCall(mRequest, mCall),
+                        mRequest.body(),
+                        this);
+    }
+
     /**
      * Asks an endpoint to release a KV cache that will not be fetched. If this fails, the endpoint
      * releases it after a time limit of its own.
@@ -143,6 +152,44 @@
 
     @Override
     public void onHead(HttpResponse head) {
+        runStep(() -> handleHead(head));
+    }
+
+    @Override
+    public void onData(byte[] bytes) {
+        runStep(() -> handleData(bytes));
+    }
+
+    @Override
+    public void onComplete() {
+        runStep(
+                () -> {
+                    if (tryEnd()) {
+                        mListener.onComplete();
+                    }
+                });
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {
+        runStep(
+                () -> {
+                    if (tryEnd()) {
+                        mListener.onFailure(failure);
+                    }
+                });
+    }
+
+    /** Reports a failure of the step to the listener, which ends the request. */
+    private void runStep(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mListener.onHandlingFailed(e);
+        }
+    }
+
+    private void handleHead(HttpResponse head) {
         if (mEnded) {
             return;
         }
@@ -170,8 +217,7 @@
         mListener.onHead(head, response);
     }
 
-    @Override
-    public void onData(byte[] bytes) {
+    private void handleData(byte[] bytes) {
         if (mEnded) {
             return;
         }
@@ -204,30 +250,18 @@
         mListener.onFailure(CallFailure.ofInvalidResponse(reason));
     }
 
-    @Override
-    public void onComplete() {
-        if (tryEnd()) {
-            mListener.onComplete();
-        }
-    }
-
-    @Override
-    public void onFailure(CallFailure failure) {
-        if (tryEnd()) {
-            mListener.onFailure(failure);
-        }
-    }
-
     private boolean tryEnd() {
         if (mEnded) {
             return false;
         }
         mEnded = true;
-        mTimeLimit.cancel();
-        mBodyAccount.close();
-        mContext.placement().recordEnd(mCall.endpoint());
-        mCost.end();
-        endLoad();
+        FailureCollector steps = FailureCollector.create();
+        steps.run(mTimeLimit::cancel);
+        steps.run(mBodyAccount::close);
+        steps.run(() -> mContext.placement().recordEnd(mCall.endpoint()));
+        steps.run(mCost::end);
+        endLoad(steps);
+        steps.rethrow();
         return true;
     }
 
@@ -247,22 +281,27 @@
         }
     }
 
-    private void endLoad() {
-        if (mCall.stage() == EndpointCall.Stage.RUN) {
-            adjustLoad(ServiceLoadSink.Gauge.RUNNING, -1);
-            adjustLoad(ServiceLoadSink.Gauge.OUTPUT_TOKENS, -outputTokens());
-            if (mAwaitsFirstEvent) {
-                adjustLoad(ServiceLoadSink.Gauge.AWAITING_FIRST_EVENT, -1);
-            } else {
-                mContext.load()
-                        .count(
-                                mCall.endpoint().service(),
-                                ServiceLoadSink.Counter.GENERATED_TOKENS,
-                                outputTokens());
-            }
+    private void endLoad(FailureCollector steps) {
+        if (mCall.stage() != EndpointCall.Stage.RUN) {
+            return;
+        }
+        steps.run(() -> adjustLoad(ServiceLoadSink.Gauge.RUNNING, -1));
+        steps.run(() -> adjustLoad(ServiceLoadSink.Gauge.OUTPUT_TOKENS, -outputTokens()));
+        if (mAwaitsFirstEvent) {
+            steps.run(() -> adjustLoad(ServiceLoadSink.Gauge.AWAITING_FIRST_EVENT, -1));
+        } else {
+            steps.run(this::countGeneratedTokens);
         }
     }
 
+    private void countGeneratedTokens() {
+        mContext.load()
+                .count(
+                        mCall.endpoint().service(),
+                        ServiceLoadSink.Counter.GENERATED_TOKENS,
+                        outputTokens());
+    }
+
     private void adjustLoad(ServiceLoadSink.Gauge gauge, long change) {
         mContext.load().adjust(mCall.endpoint().service(), gauge, change);
     }
@@ -312,6 +351,9 @@
 
         /** Called when no complete response will arrive. */
         void onFailure(CallFailure failure);
+
+        /** Called when handling the response failed; may be followed by other calls. */
+        void onHandlingFailed(Throwable failure);
     }
 
     /**
--- a/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointResponseHandler.java
@@ -347,6 +347,11 @@
         }
     }
 
+    @Override
+    public void onHandlingFailed(Throwable failure) {
+        mExecution.endAfterFailure(failure);
+    }
+
     private void retryUnsent(Endpoint endpoint, CallFailure failure) {
         mContext.metrics().count("calls.undelivered");
         mExecution.attemptBudget().recordUnsent(mStage);
@@ -371,7 +376,9 @@
                     .probe(
                             endpoint.address(),
                             CRASH_CHECK_TIMEOUT_MILLIS,
-                            reachability -> onCrashChecked(endpoint, reachability, reason));
+                            reachability ->
+                                    mExecution.runStep(
+                                            () -> onCrashChecked(endpoint, reachability, reason)));
         } else {
             retryOrEnd(endpoint, reason);
         }
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.hc.core5.http.HttpResponse;
+import org.vanilladoor.common.FailureCollector;
 import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.CallCost;
 import org.vanilladoor.fleet.Endpoint;
@@ -15,9 +16,10 @@
  * Executes one request: queues it, has its prompt prefilled, runs it and forwards the response.
  *
  * <p>Invariants: the request is done exactly when its {@link CallerResponse} has ended, at its
- * deadline at the latest. A request that may not run twice is sent again only if its endpoint
- * stated that it has not run it, or if none of it was sent. A retryable refusal is given only if no
- * endpoint can still run the request. Confined to the control thread.
+ * deadline at the latest; a step that fails, in whatever way, ends the request. A request that may
+ * not run twice is sent again only if its endpoint stated that it has not run it, or if none of it
+ * was sent. A retryable refusal is given only if no endpoint can still run the request. Confined to
+ * the control thread.
  */
 final class RequestExecution {
     /** Prompts longer than this many tokens are prefilled on a separate engine. */
@@ -50,6 +52,7 @@
     private WaitQueue.QueuedRequest mQueuedRequest;
     private EndpointExchange mCall;
     private boolean mSkipSeparatePrefill;
+    private boolean mFinished;
 
     RequestExecution(
             GatewayContext context,
@@ -79,10 +82,54 @@
     /** Starts; the action runs once the request has its response or the caller has disconnected. */
     void start(Runnable onEnd) {
         mOnEnd = onEnd;
-        long nowMillis = MonotonicClock.nowMillis();
-        mResponse.onDisconnect(this::onCallerDisconnected);
-        mResponse.limitTime(Math.max(0, mDeadlineMillis - nowMillis), this::onTimeout);
-        mAdmission.start(this::beginFirstAttempt, this::refuseOverAllowance);
+        runStep(
+                () -> {
+                    long nowMillis = MonotonicClock.nowMillis();
+                    mResponse.limitTime(
+                            Math.max(0, mDeadlineMillis - nowMillis),
+                            () -> runStep(this::onTimeout));
+                    mResponse.onDisconnect(() -> runStep(this::onCallerDisconnected));
+                    mAdmission.start(
+                            () -> runStep(this::beginFirstAttempt),
+                            (millisUntilRoom, reason) ->
+                                    runStep(() -> refuseOverAllowance(millisUntilRoom, reason)));
+                });
+    }
+
+    /**
+     * Runs a step of this request. Every event that concerns the request comes through this method,
+     * so that a failure of any kind ends the request instead of leaving it without a response.
+     */
+    void runStep(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            endAfterFailure(e);
+        }
+    }
+
+    /**
+     * Ends the request after a failure that no other code has handled.
+     *
+     * <p>What an endpoint has done by then is unknown, so that nothing is promised to the caller.
+     */
+    void endAfterFailure(Throwable failure) {
+        FailureCollector steps = FailureCollector.create();
+        steps.run(() -> mLog.writeFailed(failure));
+        steps.run(this::abandonCall);
+        mCall = null;
+        steps.run(this::markPossiblyRunAfterFailure);
+        if (!isDone()) {
+            steps.run(() -> mResponse.fail(failure));
+        }
+        steps.run(() -> finish(CallerResponse.End.failed(failure), failure.toString()));
+        steps.failure().ifPresent(mLog::writeFailed);
+    }
+
+    private void markPossiblyRunAfterFailure() {
+        if (mAttemptBudget.calls() > 0) {
+            mProgress.markPossiblyRun();
+        }
     }
 
     private void beginFirstAttempt() {
@@ -180,7 +227,7 @@
         send(prefillEngine.get(), EndpointCall.Stage.READ_PROMPT);
         EndpointExchange call = mCall;
         long timeoutMillis = PREFILL_TIMEOUT_OBJECTIVES * mRoute.objectiveMillis();
-        call.limitTime(timeoutMillis, () -> onPrefillTimeout(call));
+        call.limitTime(timeoutMillis, () -> runStep(() -> onPrefillTimeout(call)));
         return true;
     }
 
@@ -298,8 +345,11 @@
 
     /** Ends the request because its endpoint takes longer than the process may live. */
     void endBeforeStop() {
-        abandonCall();
-        endWithFailure(Refusal.STOPPING, "the process ends");
+        runStep(
+                () -> {
+                    abandonCall();
+                    endWithFailure(Refusal.STOPPING, "the process ends");
+                });
     }
 
     private void abandonCall() {
@@ -322,17 +372,27 @@
         finish(mResponse.abandon(), "the caller disconnected");
     }
 
-    /** Accounts for the request, whose response has ended. */
+    /** Accounts for the request, whose response has ended, once. */
     private void finish(CallerResponse.End end, String reason) {
-        mPrefillLoad.setPrefilling(false);
-        leaveQueue();
-        mAdmission.end(mProgress.mayHaveWorked());
-        mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS);
+        if (mFinished) {
+            return;
+        }
+        mFinished = true;
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
-        mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), tookMillis);
-        mLog.writeEnded(mRoute, end.outcome(), mAttemptBudget, tookMillis, reason);
-        mOnEnd.run();
-        waitQueue().advance(MonotonicClock.nowMillis());
+        FailureCollector steps = FailureCollector.create();
+        steps.run(() -> mPrefillLoad.setPrefilling(false));
+        steps.run(this::leaveQueue);
+        steps.run(() -> mAdmission.end(mProgress.mayHaveWorked()));
+        steps.run(() -> mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS));
+        steps.run(() -> recordDuration(tookMillis));
+        steps.run(() -> mLog.writeEnded(mRoute, end.outcome(), mAttemptBudget, tookMillis, reason));
+        steps.run(mOnEnd);
+        steps.run(() -> waitQueue().advance(MonotonicClock.nowMillis()));
+        steps.rethrow();
+    }
+
+    private void recordDuration(long millis) {
+        mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), millis);
     }
 
     private void leaveQueue() {
@@ -404,6 +464,15 @@
     private final class QueuedAttempt implements WaitQueue.Attempt {
         @Override
         public boolean tryDispatch() {
+            try {
+                return tryStart();
+            } catch (RuntimeException | Error e) {
+                endAfterFailure(e);
+                return true;
+            }
+        }
+
+        private boolean tryStart() {
             if (isDone() || endIfNotSendable()) {
                 return true;
             }
@@ -425,12 +494,25 @@
         /** A request that needs much memory lets others pass in the first half of its time. */
         @Override
         public boolean blocksOthers() {
+            try {
+                return isBlockingOthers();
+            } catch (RuntimeException | Error e) {
+                endAfterFailure(e);
+                return false;
+            }
+        }
+
+        private boolean isBlockingOthers() {
             long halfTimeMillis = (mProgress.arrivedMillis() + mDeadlineMillis) / 2;
             return MonotonicClock.nowMillis() > halfTimeMillis || !mChoice.isOutOfMemory(mKvCache);
         }
 
         @Override
         public void abandon(int ahead, long turnMillis) {
+            runStep(() -> endWithoutTurn(ahead, turnMillis));
+        }
+
+        private void endWithoutTurn(int ahead, long turnMillis) {
             mQueuedRequest = null;
             mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
             if (!isDone()) {
--- a/src/main/java/org/vanilladoor/gateway/RequestLog.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestLog.java
@@ -1,6 +1,8 @@
 package org.vanilladoor.gateway;
 
 import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.fleet.CallCost;
 import org.vanilladoor.fleet.Endpoint;
@@ -15,6 +17,7 @@
  */
 record RequestLog(String identifier) {
     private static final String PART = "gateway";
+    private static final Logger LOG = LogManager.getLogger(RequestLog.class);
 
     /**
      * Writes that a call is sent.
@@ -74,6 +77,12 @@
                 reason);
     }
 
+    /** Writes that a step of the request failed in a way that no other code has handled. */
+    void writeFailed(Throwable failure) {
+        EventLog.write(PART, "request.failed", "id", identifier, "reason", failure);
+        LOG.error("gateway: A step of the request {} failed.", identifier, failure);
+    }
+
     void writeEnded(
             Route route, String outcome, AttemptBudget attempts, long tookMillis, String reason) {
         EventLog.write(
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -1,6 +1,7 @@
 package org.vanilladoor.transport;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -36,10 +37,11 @@
  *
  * <p>The request is passed to the receiver once its body has been read, or can't be kept.
  * Invariants: at most one response is sent; nothing is sent after its end; what can't be sent as a
- * response, because another has begun or HttpCore rejects it, closes the connection, so that the
- * caller sees an end; unread output is buffered up to a limit, beyond which the connection is
- * closed, too. HttpCore calls the handler methods on its own thread, the control thread sends the
- * response; state shared by the two is guarded by this object.
+ * response, because another has begun or any step of sending it fails, closes the connection, so
+ * that the caller sees an end; such a failure is thrown to the sender after that. Unread output is
+ * buffered up to a limit, beyond which the connection is closed, too. HttpCore calls the handler
+ * methods on its own thread, the control thread sends the response; state shared by the two is
+ * guarded by this object.
  */
 public final class FrontExchange implements AsyncServerExchangeHandler {
     /** Maximum output buffered for a slow caller. */
@@ -118,24 +120,32 @@
 
     /** Sends a complete response. */
     public void respond(HttpResponse head, byte[] body) {
-        startResponse(
-                head,
-                new BasicEntityDetails(body.length, null),
-                ByteBuffer.wrap(body),
-                ResponseState.ENDED);
+        closeOnFailure(
+                () ->
+                        startResponse(
+                                head,
+                                new BasicEntityDetails(body.length, null),
+                                ByteBuffer.wrap(body),
+                                ResponseState.ENDED));
     }
 
     /** Starts a response of unknown length. */
     public void startStream(HttpResponse head, byte[] firstBytes) {
-        startResponse(
-                head,
-                new BasicEntityDetails(-1, null),
-                ByteBuffer.wrap(firstBytes),
-                ResponseState.STREAMING);
+        closeOnFailure(
+                () ->
+                        startResponse(
+                                head,
+                                new BasicEntityDetails(-1, null),
+                                ByteBuffer.wrap(firstBytes),
+                                ResponseState.STREAMING));
     }
 
     /** Sends more of a response started with {@link #startStream}. */
     public void write(byte[] bytes) {
+        closeOnFailure(() -> addOutput(bytes));
+    }
+
+    private void addOutput(byte[] bytes) {
         if (!tryAdvance(ResponseState.STREAMING, ResponseState.STREAMING)) {
             return;
         }
@@ -170,9 +180,12 @@
 
     /** Ends a response started with {@link #startStream}. */
     public void end() {
-        if (tryAdvance(ResponseState.STREAMING, ResponseState.ENDED)) {
-            requestOutput();
-        }
+        closeOnFailure(
+                () -> {
+                    if (tryAdvance(ResponseState.STREAMING, ResponseState.ENDED)) {
+                        requestOutput();
+                    }
+                });
     }
 
     /** Closes the connection, so that the caller can detect that the response is incomplete. */
@@ -233,7 +246,7 @@
             deferred = mDeferred;
         }
         passOn();
-        deferred.run();
+        closeOnFailure(deferred);
     }
 
     /** Passes the request to the receiver, once, from the I/O thread. */
@@ -247,7 +260,7 @@
     private void passToReceiver() {
         try {
             mReceiver.accept(this);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.error("front: Closing a connection whose request could not be handled.", e);
             disconnect();
         }
@@ -331,8 +344,29 @@
 
     /** Closes the connection and reports that to the owner of the response. */
     private void disconnect() {
-        handleDisconnect();
-        mSession.close(closeMode());
+        try {
+            handleDisconnect();
+        } finally {
+            mSession.close(closeMode());
+        }
+    }
+
+    /**
+     * Runs a step of the response; one that fails closes the connection, since it is not known how
+     * much of the response HttpCore has taken.
+     */
+    private void closeOnFailure(Runnable step) {
+        try {
+            step.run();
+        } catch (UncheckedIOException e) {
+            LOG.warn("front: Closing a connection whose response can't be sent: {}.", e.toString());
+            disconnect();
+            throw e;
+        } catch (RuntimeException | Error e) {
+            LOG.error("front: Closing a connection whose response can't be sent.", e);
+            disconnect();
+            throw e;
+        }
     }
 
     /** A response without chunks ends with its connection, so that only a reset cuts it off. */
@@ -390,9 +424,10 @@
     private void send(HttpResponse head, EntityDetails entity) {
         try {
             mResponseChannel.sendResponse(head, entity, mContext);
-        } catch (HttpException | IOException e) {
-            LOG.warn("front: Closing a connection whose response can't be sent: {}.", e.toString());
-            disconnect();
+        } catch (HttpException e) {
+            throw new IllegalArgumentException("the response is not valid: " + e.getMessage(), e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 
--- a/src/main/java/org/vanilladoor/transport/OutgoingCall.java
+++ b/src/main/java/org/vanilladoor/transport/OutgoingCall.java
@@ -139,12 +139,15 @@
             return;
         }
         mDone = true;
-        if (mKeepConnection && isRequestComplete) {
-            mPool.release(mConnection);
-        } else {
-            discardConnection();
+        try {
+            if (mKeepConnection && isRequestComplete) {
+                mPool.release(mConnection);
+            } else {
+                discardConnection();
+            }
+        } finally {
+            mListener.onComplete();
         }
-        mListener.onComplete();
     }
 
     void onFailure(OutgoingExchange exchange, String reason) {
@@ -171,8 +174,11 @@
         }
         mDone = true;
         boolean reused = mConnection != null && mConnection.isReused();
-        resetConnection();
-        mListener.onFailure(new CallFailure(isSent(), reused, isRefused, reason));
+        try {
+            resetConnection();
+        } finally {
+            mListener.onFailure(new CallFailure(isSent(), reused, isRefused, reason));
+        }
     }
 
     private void resetConnection() {
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -34,6 +34,8 @@
 import org.vanilladoor.gateway.LocalRetryBudgets;
 import org.vanilladoor.gateway.ServiceLoadSink;
 import org.vanilladoor.gateway.ServingState;
+import org.vanilladoor.gateway.UsageSink;
+import org.vanilladoor.gateway.WireFormat;
 import org.vanilladoor.platform.ScriptedEndpoint.Answer;
 import org.vanilladoor.platform.ScriptedEndpoint.Received;
 import org.vanilladoor.quarantine.CrashReportPublisher;
@@ -68,6 +70,15 @@
     /** Admission within the teams' allowances; set before the gateway starts. */
     AllowanceControl mAllowances = AllowanceControl.UNLIMITED;
 
+    /** Encodes and decodes messages; set before the gateway starts. */
+    WireFormat mWireFormat = new OperatorWireFormat();
+
+    /** Counts the requests that have started; set before the gateway starts. */
+    UsageSink mUsage = mStartedTeams::add;
+
+    /** Receives the load; set before the gateway starts. */
+    ServiceLoadSink mLoadSink = mLoad;
+
     /** Maximum size of a request's body; set before the gateway starts. */
     int mMaximumBodyBytes = 1_000;
 
@@ -84,7 +95,7 @@
                 Gateway.start(
                         mControl,
                         mConnections,
-                        new OperatorWireFormat(),
+                        mWireFormat,
                         mState,
                         Placement.create(
                                 mDirectory,
@@ -99,8 +110,8 @@
                         new Gateway.Accounting(
                                 retryBudgets(),
                                 mAllowances,
-                                mStartedTeams::add,
-                                mLoad,
+                                mUsage,
+                                mLoadSink,
                                 mMemory,
                                 GatewayMetrics.create(new MetricRegistry())),
                         new SplittableRandom(4));
