Reject responses whose status is above 599

Cause: ResponseLineParser rejected statuses below 100 only, and HttpCore can't write those above 599. Such a head is no response, so that its caller now gets 502, like after a status below 100. The parser of http/ is the same.

--- a/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
+++ b/src/main/java/org/vanilladoor/transport/ResponseLineParser.java
@@ -10,8 +10,8 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Parses the lines of a response head and rejects statuses below 100, invalid headers and a second
- * status line inside a line.
+ * Parses the lines of a response head and rejects statuses outside 100 to 599, invalid headers and
+ * a second status line inside a line.
  *
  * <p>If a peer breaks off a response inside a line of its head, the status line of its next
  * response continues that line. HttpCore removes blanks before the colon of a header, and takes the
@@ -20,6 +20,7 @@
 public final class ResponseLineParser extends LazyLaxLineParser {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d+(\\.\\d+)?\\s+\\d{3}");
     private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
+    private static final int MAXIMUM_STATUS = 599;
     private final Consumer<String> mMergedHeadsListener;
 
     private ResponseLineParser(Consumer<String> mergedHeadsListener) {
@@ -39,8 +40,9 @@
     public StatusLine parseStatusLine(CharArrayBuffer buffer) throws ParseException {
         requireNoStatusLine(buffer, 1);
         StatusLine statusLine = super.parseStatusLine(buffer);
-        if (statusLine.getStatusCode() < HttpStatus.SC_CONTINUE) {
-            throw new ParseException("invalid status " + statusLine.getStatusCode());
+        int status = statusLine.getStatusCode();
+        if (status < HttpStatus.SC_CONTINUE || status > MAXIMUM_STATUS) {
+            throw new ParseException("invalid status " + status);
         }
         return statusLine;
     }
--- a/src/test/java/org/vanilladoor/http/MalformedLineTests.java
+++ b/src/test/java/org/vanilladoor/http/MalformedLineTests.java
@@ -72,7 +72,11 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"000", "001", "099", "0200", "2000", "20", "+20", "-20", "2 0", ""})
+    @ValueSource(
+            strings = {
+                "000", "001", "099", "600", "900", "999", "0200", "2000", "20", "+20", "-20", "2 0",
+                ""
+            })
     void aHeadWithAnInvalidStatusIsNoResponse(String status) throws IOException {
         String head = "HTTP/1.1 " + status + " Status\r\n";
         String response = OK + "Content-Length: 4\r\n\r\ndone";
--- a/src/test/java/org/vanilladoor/platform/InvalidStatusTests.java
+++ b/src/test/java/org/vanilladoor/platform/InvalidStatusTests.java
@@ -35,6 +35,11 @@
                 "010",
                 "020",
                 "099",
+                "600",
+                "601",
+                "700",
+                "900",
+                "999",
                 "0",
                 "2",
                 "20",
@@ -68,7 +73,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"000", "001", "099", "0100", "+103"})
+    @ValueSource(strings = {"000", "001", "099", "600", "999", "0100", "+103"})
     void aSuccessAfterAResponseWithAnInvalidStatusIsNotForwarded(String status) throws IOException {
         endpoint("e", received -> mAnswer);
         mAnswer =
