Keep only what is needed of the store's content, and bound it

Cause: a listing decoded each object as a whole, into about twenty times its size, and kept all of them until its last page; limits counted bytes of JSON. The OutOfMemoryError was thrown before the call's future was completed, so that the call ended by its time limit and was repeated without an end.

Change: entries are decoded one by one as they arrive, only the selected fields of them, and into a tree of bounded size (BoundedJsonDecoder, JsonSelection). A listing keeps what is of use, 16 MB at most, and what it keeps is charged to the memory of all messages. Changes of more than 8 MB are listed in pages. Reports of engines and responses of the cloud are read up to 256 KB. A failure of any kind while a response is handled ends its call, and an error of a submitted task fails its future.

Ruled out: a smaller limit for entries, since a configuration may be 1 MB large and many small entries do the same; a table of names for each response, as Jackson keeps it, which grows with the names.

RawObjectStore hands out pages of at most 1 MB now, as stores do.

--- a/src/main/java/org/vanilladoor/common/ControlLoop.java
+++ b/src/main/java/org/vanilladoor/common/ControlLoop.java
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Runs the task on the control thread; the future completes with its result or exception. */
+    /** Runs the task on the control thread; the future completes with its result or failure. */
     public <T> CompletableFuture<T> submit(Callable<T> task) {
         CompletableFuture<T> result = new CompletableFuture<>();
         try {
@@ -60,7 +60,7 @@
                     () -> {
                         try {
                             result.complete(task.call());
-                        } catch (Exception e) {
+                        } catch (Exception | Error e) {
                             result.completeExceptionally(e);
                         }
                     });
--- a/src/main/java/org/vanilladoor/common/MemoryBudget.java
+++ b/src/main/java/org/vanilladoor/common/MemoryBudget.java
@@ -105,7 +105,9 @@
         /** Bodies and events that are incomplete. */
         RESPONSE_BODY,
         /** Output that callers have not read. */
-        RESPONSE_OUTPUT
+        RESPONSE_OUTPUT,
+        /** Responses to this system's own calls, and what they are decoded into. */
+        CONTROL_RESPONSE
     }
 
     /**
--- a/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
+++ b/src/main/java/org/vanilladoor/platform/ConfigurationFeed.java
@@ -30,6 +30,11 @@
         return new ConfigurationFeed(state);
     }
 
+    @Override
+    public boolean isOfUse(JsonNode object) {
+        return ObjectClient.nameOf(object).equals(CURRENT_NAME);
+    }
+
     @Override
     public void onListed(List<JsonNode> objects) {
         objects.forEach(this::onChanged);
--- a/src/main/java/org/vanilladoor/platform/EndpointDecoder.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointDecoder.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.hc.core5.net.InetAddressUtils;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
@@ -21,6 +24,13 @@
     private static final char SPACE = ' ';
     private static final char DELETE_CHARACTER = 127;
 
+    /** What is needed of an entry's {@code spec}, which the endpoint writes itself. */
+    static final JsonSelection SPEC =
+            scalars("service", "addr", "zone", "slots", "state", "phase", "spot", START_FIELD);
+
+    /** What is needed of the announcement of an engine's role. */
+    static final Set<String> ANNOUNCEMENT_FIELDS = Set.of(ROLE_FIELD, CHANGING_FIELD, START_FIELD);
+
     private EndpointDecoder() {}
 
     /** Returns the announcement of an engine's role, to be stored as the status of its entry. */
@@ -135,6 +145,12 @@
         };
     }
 
+    private static JsonSelection scalars(String... names) {
+        return JsonSelection.ofFields(
+                Stream.of(names)
+                        .collect(Collectors.toMap(name -> name, name -> JsonSelection.SCALAR)));
+    }
+
     private static void require(boolean present, String field) {
         if (!present) {
             throw new IllegalArgumentException(
--- a/src/main/java/org/vanilladoor/platform/EndpointFeed.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointFeed.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.MonotonicClock;
@@ -20,6 +22,11 @@
     /** Kind of the endpoints' entries; the platform calls an endpoint a server. */
     static final String KIND = "servers";
 
+    /** What is needed of an entry. */
+    private static final JsonSelection SELECTION =
+            JsonSelection.ofFields(
+                    Map.of("spec", EndpointDecoder.SPEC, "status", statusSelection()));
+
     private final EndpointDirectory mDirectory;
     private final ServingState mState;
     private final EndpointMarks mMarks;
@@ -50,6 +57,16 @@
         return new EndpointFeed(directory, state, marks, newsListener);
     }
 
+    @Override
+    public JsonSelection selection() {
+        return SELECTION;
+    }
+
+    @Override
+    public boolean isOfUse(JsonNode object) {
+        return decode(object).isPresent();
+    }
+
     @Override
     public void onListed(List<JsonNode> objects) {
         List<Endpoint> endpoints = new ArrayList<>();
@@ -134,6 +151,16 @@
         void onLimitEnded(String endpoint);
     }
 
+    private static JsonSelection statusSelection() {
+        Map<String, JsonSelection> fields = new HashMap<>();
+        EndpointDecoder.ANNOUNCEMENT_FIELDS.forEach(
+                field -> fields.put(field, JsonSelection.SCALAR));
+        for (EndpointMarks.Kind kind : EndpointMarks.Kind.values()) {
+            fields.put(kind.field(), JsonSelection.SCALAR);
+        }
+        return JsonSelection.ofFields(fields);
+    }
+
     private static Optional<Endpoint> decode(JsonNode object) {
         String name = ObjectClient.nameOf(object);
         try {
--- a/src/main/java/org/vanilladoor/platform/EndpointMarks.java
+++ b/src/main/java/org/vanilladoor/platform/EndpointMarks.java
@@ -67,5 +67,10 @@
         Kind(String field) {
             mField = field;
         }
+
+        /** Returns the field of an entry's status that has the mark. */
+        String field() {
+            return mField;
+        }
     }
 }
--- a/src/main/java/org/vanilladoor/platform/JsonSplitter.java
+++ b/src/main/java/org/vanilladoor/platform/JsonSplitter.java
@@ -1,13 +1,13 @@
 package org.vanilladoor.platform;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Splits a JSON object that arrives in parts into its fields, and those that are lists of entries
@@ -16,14 +16,15 @@
  * <p>Only strings and brackets are recognized, so a value may contain numbers, names, encodings and
  * nesting of any kind without affecting the values around it. Invariants: the memory used depends
  * neither on the depth of a value nor, beyond {@code maximumValueBytes}, on its size; only the
- * beginning of a longer value is kept. Not safe for use by several threads.
+ * beginning of a longer value is kept, nothing of an unwanted field, and entries are handed on, not
+ * kept. Not safe for use by several threads.
  */
 final class JsonSplitter {
     /** Kept of a value that is too long; enough for the name of an object in the store. */
     private static final int KEPT_BYTES_OF_LONG_VALUE = 4_096;
 
-    /** Memory that a kept value takes besides its content. */
-    private static final int OVERHEAD_BYTES = 48;
+    /** Memory that a kept value takes besides its content, with its name. */
+    private static final int OVERHEAD_BYTES = 160;
 
     private static final int INITIAL_CAPACITY = 512;
     private static final int DEPTH_OF_FIELDS = 1;
@@ -31,12 +32,14 @@
 
     private final Set<String> mListFields;
     private final int mMaximumValueBytes;
+    private final Predicate<String> mWantedFields;
+    private final Consumer<byte[]> mEntryListener;
     private final Map<String, byte[]> mFields = new HashMap<>();
-    private final List<byte[]> mEntries = new ArrayList<>();
     private byte[] mValue = new byte[INITIAL_CAPACITY];
     private int mValueLength;
     private String mFieldName = "";
     private boolean mValueIsTooLong;
+    private boolean mValueIsUnwanted;
     private boolean mInString;
     private boolean mAfterBackslash;
     private boolean mInList;
@@ -44,9 +47,15 @@
     private boolean mComplete;
     private int mSize;
 
-    private JsonSplitter(Set<String> listFields, int maximumValueBytes) {
+    private JsonSplitter(
+            Set<String> listFields,
+            int maximumValueBytes,
+            Predicate<String> wantedFields,
+            Consumer<byte[]> entryListener) {
         mListFields = listFields;
         mMaximumValueBytes = maximumValueBytes;
+        mWantedFields = wantedFields;
+        mEntryListener = entryListener;
     }
 
     /**
@@ -54,17 +63,21 @@
      *
      * @param listFields names of the fields whose elements are split from each other
      * @param maximumValueBytes maximum size of a field or entry that is kept completely
+     * @param entryListener receives the JSON of each entry of the lists in order; only the
+     *     beginning of long ones
      */
-    static JsonSplitter create(Set<String> listFields, int maximumValueBytes) {
-        return new JsonSplitter(listFields, maximumValueBytes);
+    static JsonSplitter create(
+            Set<String> listFields, int maximumValueBytes, Consumer<byte[]> entryListener) {
+        return new JsonSplitter(listFields, maximumValueBytes, name -> true, entryListener);
     }
 
     /**
-     * Returns the fields of an object, of which only the beginning may be present; then the last
-     * field is incomplete if it is an object.
+     * Returns the wanted fields of an object, of which only the beginning may be present; then the
+     * last field is incomplete if it is an object.
      */
-    static Map<String, byte[]> fieldsOf(byte[] object) {
-        JsonSplitter splitter = create(Set.of(), Integer.MAX_VALUE);
+    static Map<String, byte[]> fieldsOf(byte[] object, Predicate<String> wantedFields) {
+        JsonSplitter splitter =
+                new JsonSplitter(Set.of(), Integer.MAX_VALUE, wantedFields, entry -> {});
         splitter.write(object);
         boolean endsInObject =
                 !splitter.mFieldName.isEmpty()
@@ -88,7 +101,7 @@
         return mComplete;
     }
 
-    /** Returns the memory that the kept fields and entries take, in bytes. */
+    /** Returns the memory that the kept fields and the present value take, in bytes. */
     int size() {
         return mSize + mValueLength;
     }
@@ -98,11 +111,6 @@
         return Map.copyOf(mFields);
     }
 
-    /** Returns the JSON of each entry of the lists in order; only the beginning of long ones. */
-    List<byte[]> entries() {
-        return List.copyOf(mEntries);
-    }
-
     private void accept(byte each) {
         if (mInString) {
             append(each);
@@ -132,6 +140,7 @@
             case ':' -> {
                 if (mDepth == DEPTH_OF_FIELDS) {
                     mFieldName = fieldName(takeValue().orElse(new byte[0]));
+                    mValueIsUnwanted = !mWantedFields.test(mFieldName);
                 } else {
                     append(each);
                 }
@@ -174,8 +183,7 @@
 
     private void keep(byte[] value, boolean isTooLong) {
         if (mInList) {
-            mEntries.add(value);
-            mSize += value.length + OVERHEAD_BYTES;
+            mEntryListener.accept(value);
         } else if (!isTooLong) {
             mFields.put(mFieldName, value);
             mSize += value.length + OVERHEAD_BYTES;
@@ -187,7 +195,8 @@
 
     private void append(byte each) {
         boolean isBlank = each == ' ' || each == '\n' || each == '\r' || each == '\t';
-        if (mDepth == 0 || mValueIsTooLong || isBlank && mValueLength == 0) {
+        boolean isKept = mDepth > 0 && !mValueIsTooLong && !mValueIsUnwanted;
+        if (!isKept || isBlank && mValueLength == 0) {
             return;
         }
         if (mValueLength == mMaximumValueBytes) {
@@ -211,6 +220,7 @@
                         : Optional.of(Arrays.copyOf(mValue, mValueLength));
         mValueLength = 0;
         mValueIsTooLong = false;
+        mValueIsUnwanted = false;
         return value;
     }
 
--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -1,22 +1,28 @@
 package org.vanilladoor.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.BinaryNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.SendPermit;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoreUnavailableException;
@@ -34,19 +40,42 @@
  * the rest of the name become dots. Invariants: no call is retried; a call without a response in
  * time fails with {@link StoreUnavailableException}, and its connection is closed, since it can't
  * be used for another call. A response counts as the one to a read or a write only if it has that
- * object, and after a write a later version of it. Methods may be called by any thread; futures
- * complete on the control thread.
+ * object, and after a write a later version of it. A listing keeps only what is selected of the
+ * objects that are of use, and no more than {@link #MAXIMUM_LISTING_BYTES} of them. Methods may be
+ * called by any thread; futures complete on the control thread.
  */
 final class ObjectClient implements ObjectStore, StoredObjectLister {
     private static final String PATH = "/api/objects/";
     private static final String ITEMS_FIELD = "items";
     private static final String EVENTS_FIELD = "events";
     private static final String REVISION_FIELD = "current_rev";
+    private static final String META_FIELD = "meta";
+    private static final String SPEC_FIELD = "spec";
     private static final Set<String> LIST_FIELDS = Set.of(ITEMS_FIELD, EVENTS_FIELD);
 
+    /** The name and the version of an object. */
+    private static final JsonSelection META =
+            JsonSelection.ofFields(
+                    Map.of("name", JsonSelection.SCALAR, "rev", JsonSelection.SCALAR));
+
+    private static final JsonSelection NAMES = JsonSelection.ofFields(Map.of(META_FIELD, META));
+
+    /** Our own objects are decoded by those who know their types. */
+    private static final JsonSelection ENCODED_OBJECTS =
+            JsonSelection.ofFields(Map.of(META_FIELD, META, SPEC_FIELD, JsonSelection.ENCODED));
+
+    private static final JsonSelection STATUSES =
+            JsonSelection.ofFields(Map.of(META_FIELD, META, "status", JsonSelection.EVERYTHING));
+
     /** Prefix of the kinds of our own objects. */
     private static final String KIND_PREFIX = "vanilladoor-";
 
+    /** Maximum memory of the objects of a listing; a fleet of 840 endpoints takes about 1 MB. */
+    private static final int MAXIMUM_LISTING_BYTES = 16 * 1024 * 1024;
+
+    /** Size of changes above which listing the objects in pages is sooner done. */
+    private static final long MAXIMUM_CHANGES_BYTES = 8 * 1024 * 1024;
+
     /** Time-out for a response; a healthy store responds within a few milliseconds. */
     private static final long RESPONSE_TIMEOUT_MILLIS = 900;
 
@@ -119,8 +148,13 @@
      */
     @Override
     public CompletableFuture<List<String>> list(String prefix) {
-        return listKind(prefix + "/", false)
-                .thenApply(objects -> objects.stream().map(StoredObject::name).toList());
+        Pages pages = new Pages(platformKind(prefix + "/"), "", NAMES, object -> true);
+        return listPages(pages)
+                .thenApply(
+                        listing ->
+                                listing.items().stream()
+                                        .map(item -> kindPrefix(prefix + "/") + nameOf(item))
+                                        .toList());
     }
 
     @Override
@@ -138,8 +172,11 @@
     @Override
     public CompletableFuture<List<StoredObject>> listKind(String anyName, boolean mayBeStale) {
         String kind = platformKind(anyName);
-        String prefix = anyName.substring(0, anyName.indexOf('/') + 1);
-        return listPages(kind, mayBeStale ? "serializable=1" : "", Pages.none())
+        String prefix = kindPrefix(anyName);
+        Pages pages =
+                new Pages(
+                        kind, mayBeStale ? "serializable=1" : "", ENCODED_OBJECTS, object -> true);
+        return listPages(pages)
                 .thenApply(
                         listing ->
                                 listing.items().stream()
@@ -147,9 +184,25 @@
                                         .toList());
     }
 
-    /** Lists all objects of one of the platform's kinds. */
-    CompletableFuture<Listing> listAll(String kind) {
-        return listPages(kind, "", Pages.none());
+    /**
+     * Lists the objects of one of the platform's kinds.
+     *
+     * @param selection what is kept of each object
+     * @param isOfUse whether an object is kept; the others count as absent
+     */
+    CompletableFuture<Listing> listAll(
+            String kind, JsonSelection selection, Predicate<JsonNode> isOfUse) {
+        return listPages(new Pages(kind, "", withMeta(selection), isOfUse));
+    }
+
+    /** Adds what this client needs of each object. */
+    private static JsonSelection withMeta(JsonSelection selection) {
+        if (selection.mode() != JsonSelection.Mode.FIELDS) {
+            return selection;
+        }
+        Map<String, JsonSelection> fields = new HashMap<>(selection.fields());
+        fields.put(META_FIELD, META);
+        return JsonSelection.ofFields(fields);
     }
 
     /**
@@ -158,11 +211,28 @@
      * @param revision revision after which changes are returned
      * @param waitMillis maximum time for which the store waits for a change before it responds
      * @param use connections that may carry the call
+     * @param selection what is kept of each object
      */
     CompletableFuture<Changes> awaitChanges(
-            String kind, long revision, long waitMillis, ConnectionUse use) {
+            String kind,
+            long revision,
+            long waitMillis,
+            ConnectionUse use,
+            JsonSelection selection) {
         String path = PATH + encode(kind) + "?watch=" + revision + "&wait_ms=" + waitMillis;
-        return send("GET", path, use, Optional.empty(), waitMillis + RESPONSE_TIMEOUT_MILLIS)
+        JsonSelection event =
+                JsonSelection.ofFields(
+                        Map.of("object", withMeta(selection), "tombstone", JsonSelection.SCALAR));
+        return send(
+                        "GET",
+                        path,
+                        use,
+                        Optional.empty(),
+                        waitMillis + RESPONSE_TIMEOUT_MILLIS,
+                        event,
+                        JsonSelection.EVERYTHING,
+                        MAXIMUM_CHANGES_BYTES,
+                        SendPermit.UNLIMITED)
                 .thenApply(
                         response -> {
                             if (response.status() == HttpStatus.SC_GONE) {
@@ -220,6 +290,9 @@
                         ConnectionUse.ANY,
                         Optional.empty(),
                         RESPONSE_TIMEOUT_MILLIS,
+                        NAMES,
+                        STATUSES,
+                        Long.MAX_VALUE,
                         permit)
                 .thenCompose(
                         response -> {
@@ -240,6 +313,9 @@
                                             ConnectionUse.ANY,
                                             Optional.of(body),
                                             RESPONSE_TIMEOUT_MILLIS,
+                                            NAMES,
+                                            STATUSES,
+                                            Long.MAX_VALUE,
                                             permit)
                                     .thenAccept(
                                             written ->
@@ -263,30 +339,40 @@
         return StandardCharsets.UTF_8.newEncoder().canEncode(text);
     }
 
-    private CompletableFuture<Listing> listPages(String kind, String query, Pages pages) {
-        String after = pages.after();
-        String pageQuery =
-                after.isEmpty()
-                        ? query
-                        : query + (query.isEmpty() ? "" : "&") + "after=" + encode(after);
-        String path = PATH + encode(kind) + (pageQuery.isEmpty() ? "" : "?" + pageQuery);
-        return send("GET", path, Optional.empty(), RESPONSE_TIMEOUT_MILLIS)
-                .thenCompose(
-                        response -> {
-                            JsonNode body = response.requireNumber(REVISION_FIELD);
-                            for (StoreEntry entry : response.entries()) {
-                                logUnreadable(kind, entry, entry.content());
-                                pages.found().add(entry.content());
-                            }
-                            if (body.path("has_more").asBoolean(false)) {
-                                if (pages.advance()) {
-                                    return listPages(kind, query, pages);
-                                }
-                                EventLog.write("store", "listing.incomplete", "kind", kind);
-                            }
-                            return CompletableFuture.completedFuture(
-                                    new Listing(pages.found(), body.path(REVISION_FIELD).asLong()));
-                        });
+    private CompletableFuture<Listing> listPages(Pages pages) {
+        CompletableFuture<Listing> listing = requestPage(pages);
+        return listing.whenComplete((found, failure) -> pages.mAccount.close());
+    }
+
+    private CompletableFuture<Listing> requestPage(Pages pages) {
+        return send(
+                        "GET",
+                        pages.path(),
+                        ConnectionUse.ANY,
+                        Optional.empty(),
+                        RESPONSE_TIMEOUT_MILLIS,
+                        pages.mSelection,
+                        JsonSelection.EVERYTHING,
+                        Long.MAX_VALUE,
+                        SendPermit.UNLIMITED)
+                .thenCompose(response -> addPage(pages, response));
+    }
+
+    private CompletableFuture<Listing> addPage(Pages pages, PlatformCalls.Response response) {
+        JsonNode body = response.requireNumber(REVISION_FIELD);
+        for (StoreEntry entry : response.entries()) {
+            logUnreadable(pages.mKind, entry, entry.content());
+            pages.add(entry);
+        }
+        if (body.path("has_more").asBoolean(false)) {
+            if (pages.advance()) {
+                return requestPage(pages);
+            }
+            EventLog.write("store", "listing.incomplete", "kind", pages.mKind);
+        }
+        pages.logDropped();
+        return CompletableFuture.completedFuture(
+                new Listing(pages.mFound, body.path(REVISION_FIELD).asLong()));
     }
 
     private void logUnreadable(String kind, StoreEntry entry, JsonNode object) {
@@ -312,16 +398,16 @@
 
     private CompletableFuture<PlatformCalls.Response> send(
             String method, String path, Optional<Object> body, long timeoutMillis) {
-        return send(method, path, ConnectionUse.ANY, body, timeoutMillis);
-    }
-
-    private CompletableFuture<PlatformCalls.Response> send(
-            String method,
-            String path,
-            ConnectionUse use,
-            Optional<Object> body,
-            long timeoutMillis) {
-        return send(method, path, use, body, timeoutMillis, SendPermit.UNLIMITED);
+        return send(
+                method,
+                path,
+                ConnectionUse.ANY,
+                body,
+                timeoutMillis,
+                NAMES,
+                JsonSelection.EVERYTHING,
+                Long.MAX_VALUE,
+                SendPermit.UNLIMITED);
     }
 
     private CompletableFuture<PlatformCalls.Response> send(
@@ -330,6 +416,9 @@
             ConnectionUse use,
             Optional<Object> body,
             long timeoutMillis,
+            JsonSelection entry,
+            JsonSelection responseBody,
+            long maximumBytes,
             SendPermit permit) {
         return mCalls.sendForEntries(
                 mAddress,
@@ -337,15 +426,21 @@
                 new BasicHttpRequest(method, path),
                 body,
                 timeoutMillis,
-                LIST_FIELDS,
+                new PlatformCalls.ContentSelection(LIST_FIELDS, entry, responseBody, maximumBytes),
                 permit);
     }
 
     private static StoredObject toStoredObject(String name, JsonNode object) {
-        JsonNode spec = object.path("spec");
+        return new StoredObject(
+                name, ObjectResponses.versionOf(object), contentOf(object.path(SPEC_FIELD)));
+    }
+
+    private static byte[] contentOf(JsonNode spec) {
+        if (spec instanceof BinaryNode encoded) {
+            return encoded.binaryValue();
+        }
         // Without content, an object whose content can't be read stays present and unreadable.
-        byte[] content = spec.isMissingNode() ? new byte[0] : Json.write(spec);
-        return new StoredObject(name, ObjectResponses.versionOf(object), content);
+        return spec.isMissingNode() ? new byte[0] : Json.write(spec);
     }
 
     /** Encodes a name for use as a part of a path or query. */
@@ -353,6 +448,10 @@
         return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
+    private static String kindPrefix(String name) {
+        return name.substring(0, name.indexOf('/') + 1);
+    }
+
     private static String platformKind(String name) {
         return KIND_PREFIX + name.substring(0, name.indexOf('/'));
     }
@@ -366,19 +465,53 @@
     }
 
     /**
-     * The pages of a listing that have been received. Confined to the control thread.
+     * The pages of a listing that have been received.
      *
-     * @param found objects on the pages
-     * @param continuations names after which pages were requested
+     * <p>Invariant: what is kept of them is charged to the memory of all messages, and bounded.
+     * Confined to the control thread.
      */
-    private record Pages(List<JsonNode> found, List<String> continuations) {
-        static Pages none() {
-            return new Pages(new ArrayList<>(), new ArrayList<>());
+    private final class Pages {
+        private final String mKind;
+        private final String mQuery;
+        private final JsonSelection mSelection;
+        private final Predicate<JsonNode> mIsOfUse;
+        private final MemoryBudget.Account mAccount = mCalls.openAccount();
+        private final List<JsonNode> mFound = new ArrayList<>();
+        private final Set<String> mContinuations = new HashSet<>();
+        private String mAfter = "";
+        private String mLastName = "";
+        private int mBytes;
+        private int mDropped;
+
+        Pages(String kind, String query, JsonSelection selection, Predicate<JsonNode> isOfUse) {
+            mKind = kind;
+            mQuery = query;
+            mSelection = selection;
+            mIsOfUse = isOfUse;
         }
 
-        /** Returns the name after which the next page begins; empty for the first page. */
-        String after() {
-            return continuations.isEmpty() ? "" : continuations.get(continuations.size() - 1);
+        /** Returns the path and query of the next page. */
+        String path() {
+            String query =
+                    mAfter.isEmpty()
+                            ? mQuery
+                            : mQuery + (mQuery.isEmpty() ? "" : "&") + "after=" + encode(mAfter);
+            return PATH + encode(mKind) + (query.isEmpty() ? "" : "?" + query);
+        }
+
+        void add(StoreEntry entry) {
+            String name = nameOf(entry.content());
+            mLastName = name.isEmpty() ? mLastName : name;
+            if (!mIsOfUse.test(entry.content())) {
+                return;
+            }
+            if (mBytes + entry.bytes() > MAXIMUM_LISTING_BYTES) {
+                mDropped++;
+                return;
+            }
+            mFound.add(entry.content());
+            mBytes += entry.bytes();
+            mAccount.resize(mBytes);
         }
 
         /**
@@ -386,20 +519,29 @@
          * page again. Entries after that name are repeated on the next page.
          */
         boolean advance() {
-            for (int index = found.size() - 1; index >= 0; index--) {
-                String name = nameOf(found.get(index));
-                if (!name.isEmpty()) {
-                    return !continuations.contains(name) && continuations.add(name);
-                }
+            mAfter = mLastName;
+            return !mAfter.isEmpty() && mContinuations.add(mAfter);
+        }
+
+        void logDropped() {
+            if (mDropped > 0) {
+                EventLog.write(
+                        "store",
+                        "listing.too_large",
+                        "kind",
+                        mKind,
+                        "kept",
+                        mFound.size(),
+                        "dropped",
+                        mDropped);
             }
-            return false;
         }
     }
 
     /**
      * The objects of a kind.
      *
-     * @param items all objects of the kind, in the platform's format
+     * @param items the objects that are of use, in the platform's format
      * @param revision revision of the store at which they were listed
      */
     record Listing(List<JsonNode> items, long revision) {}
--- a/src/main/java/org/vanilladoor/platform/PlatformCalls.java
+++ b/src/main/java/org/vanilladoor/platform/PlatformCalls.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +17,7 @@
 import org.vanilladoor.common.ControlLoop;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
+import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.SendPermit;
 import org.vanilladoor.provider.CallRejectedException;
 import org.vanilladoor.provider.NoResponseException;
@@ -33,8 +35,10 @@
  * <p>Invariants: no call is retried; a call without a valid response in time fails with {@link
  * StoreUnavailableException}, and its connection is closed, since it can't be used for another
  * call. A response with the identifier of a caller's attempt is not valid: an endpoint may send the
- * response to a forwarded request again, when this system has since reused the connection. Methods
- * may be called by any thread; futures complete on the control thread.
+ * response to a forwarded request again, when this system has since reused the connection. What a
+ * response takes is charged to the memory of all messages, and its tree is bounded; a failure of
+ * any kind while it is handled, such as a lack of memory, ends just that call. Methods may be
+ * called by any thread; futures complete on the control thread.
  */
 final class PlatformCalls {
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
@@ -45,6 +49,15 @@
     /** Maximum size of an entry; the store's limit for an object is half of it. */
     private static final int MAXIMUM_VALUE_BYTES = 2 * 1024 * 1024;
 
+    /** Maximum size of a response without entries; reports of engines have some hundred bytes. */
+    private static final int MAXIMUM_WHOLE_RESPONSE_BYTES = 256 * 1024;
+
+    /** Maximum memory of a decoded entry; a configuration of 1 MB takes about 12 MB. */
+    private static final int MAXIMUM_DECODED_BYTES = 32 * 1024 * 1024;
+
+    /** Memory that an entry takes besides its content. */
+    private static final int ENTRY_BYTES = 64;
+
     /** Maximum number of characters of a response that a message contains. */
     private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
 
@@ -94,11 +107,11 @@
     }
 
     /**
-     * Sends a request whose response may contain content of other writers. What can't be decoded,
-     * or is too large, is left out of the response; the rest is not affected.
+     * Sends a request within a permit, whose response may contain content of other writers. What
+     * can't be decoded, or is too large, is left out of the response; the rest is not affected.
      *
-     * @param listFields names of the fields of the response that are lists
-     * @see #send(HostPort, ConnectionUse, HttpRequest, Optional, long)
+     * @param content what is kept of the response
+     * @see #send(HostPort, ConnectionUse, HttpRequest, Optional, long, SendPermit)
      */
     CompletableFuture<Response> sendForEntries(
             HostPort address,
@@ -106,26 +119,9 @@
             HttpRequest request,
             Optional<Object> body,
             long timeoutMillis,
-            Set<String> listFields) {
-        return sendForEntries(
-                address, use, request, body, timeoutMillis, listFields, SendPermit.UNLIMITED);
-    }
-
-    /**
-     * Sends a request within a permit, whose response may contain content of other writers.
-     *
-     * @see #sendForEntries(HostPort, ConnectionUse, HttpRequest, Optional, long, Set)
-     */
-    CompletableFuture<Response> sendForEntries(
-            HostPort address,
-            ConnectionUse use,
-            HttpRequest request,
-            Optional<Object> body,
-            long timeoutMillis,
-            Set<String> listFields,
+            ContentSelection content,
             SendPermit permit) {
-        return send(
-                address, use, request, body, timeoutMillis, permit, new SplitContent(listFields));
+        return send(address, use, request, body, timeoutMillis, permit, new SplitContent(content));
     }
 
     private CompletableFuture<Response> send(
@@ -146,7 +142,8 @@
         mControl.execute(
                 () -> {
                     ResponseCollector collector =
-                            new ResponseCollector(description, responseContent, result);
+                            new ResponseCollector(
+                                    description, responseContent, openAccount(), result);
                     OutgoingCall call =
                             mConnections.send(
                                     address,
@@ -175,6 +172,11 @@
         return result;
     }
 
+    /** Opens an account for what is kept of several responses. */
+    MemoryBudget.Account openAccount() {
+        return mConnections.openAccount(MemoryBudget.Use.CONTROL_RESPONSE);
+    }
+
     private static void abandon(
             OutgoingCall call, CompletableFuture<Response> result, String reason) {
         if (!result.isDone()) {
@@ -183,6 +185,18 @@
         }
     }
 
+    /**
+     * What is kept of a response with content of other writers.
+     *
+     * @param listFields names of the fields of the response that are lists
+     * @param entry what is kept of each entry of the lists
+     * @param body what is kept of the other fields of a successful response
+     * @param maximumBytes size from which on the response is not read any further, whatever is kept
+     *     of it
+     */
+    record ContentSelection(
+            Set<String> listFields, JsonSelection entry, JsonSelection body, long maximumBytes) {}
+
     /**
      * A complete response.
      *
@@ -230,14 +244,20 @@
         private final String mDescription;
         private final CompletableFuture<Response> mResult;
         private final ResponseContent mContent;
+        private final MemoryBudget.Account mAccount;
         private OutgoingCall mCall;
         private int mStatus;
 
         ResponseCollector(
-                String description, ResponseContent content, CompletableFuture<Response> result) {
+                String description,
+                ResponseContent content,
+                MemoryBudget.Account account,
+                CompletableFuture<Response> result) {
             mDescription = description;
             mContent = content;
+            mAccount = account;
             mResult = result;
+            result.whenComplete((response, failure) -> account.close());
         }
 
         @Override
@@ -250,9 +270,15 @@
 
         @Override
         public void onData(byte[] bytes) {
-            mContent.write(bytes);
-            if (mContent.size() > MAXIMUM_RESPONSE_BYTES) {
-                reject("the response is larger than " + MAXIMUM_RESPONSE_BYTES + " bytes");
+            try {
+                mContent.write(bytes);
+                // Callers' messages give way to these calls, which are few.
+                mAccount.resize(mContent.size());
+                if (mContent.size() > mContent.maximumSize()) {
+                    reject("the response is larger than " + mContent.maximumSize() + " bytes");
+                }
+            } catch (RuntimeException | Error e) {
+                reject("the response can't be read: " + e);
             }
         }
 
@@ -264,8 +290,19 @@
 
         @Override
         public void onComplete() {
-            mResult.complete(
-                    new Response(mDescription, mStatus, mContent.decodeBody(), mContent.entries()));
+            Response response;
+            try {
+                response =
+                        new Response(
+                                mDescription,
+                                mStatus,
+                                mContent.decodeBody(mStatus),
+                                mContent.entries());
+            } catch (RuntimeException | Error e) {
+                reject("the response can't be decoded: " + e);
+                return;
+            }
+            mResult.complete(response);
         }
 
         @Override
@@ -283,7 +320,10 @@
         /** Returns the memory that the content takes, in bytes. */
         int size();
 
-        JsonNode decodeBody();
+        /** Returns the size from which on the response is not read any further. */
+        int maximumSize();
+
+        JsonNode decodeBody(int status);
 
         List<StoreEntry> entries();
     }
@@ -303,7 +343,12 @@
         }
 
         @Override
-        public JsonNode decodeBody() {
+        public int maximumSize() {
+            return MAXIMUM_WHOLE_RESPONSE_BYTES;
+        }
+
+        @Override
+        public JsonNode decodeBody(int status) {
             if (mBody.size() == 0) {
                 return Json.newObject();
             }
@@ -321,36 +366,65 @@
         }
     }
 
-    /** Content of which each field and entry is decoded by itself. */
+    /** Content of which each field, and each entry as it arrives, is decoded by itself. */
     private static final class SplitContent implements ResponseContent {
+        private final ContentSelection mSelection;
         private final JsonSplitter mSplitter;
-        private boolean mIsEmpty = true;
+        private final BoundedJsonDecoder mDecoder =
+                BoundedJsonDecoder.create(MAXIMUM_DECODED_BYTES);
+        private final List<StoreEntry> mEntries = new ArrayList<>();
+        private int mEntryBytes;
+        private long mReceivedBytes;
+
+        SplitContent(ContentSelection selection) {
+            mSelection = selection;
+            mSplitter =
+                    JsonSplitter.create(
+                            selection.listFields(), MAXIMUM_VALUE_BYTES, this::addEntry);
+        }
 
-        SplitContent(Set<String> listFields) {
-            mSplitter = JsonSplitter.create(listFields, MAXIMUM_VALUE_BYTES);
+        private void addEntry(byte[] json) {
+            StoreEntry entry = StoreEntry.decode(json, mSelection.entry(), mDecoder);
+            mEntries.add(entry);
+            mEntryBytes += entry.bytes() + ENTRY_BYTES;
         }
 
         @Override
         public void write(byte[] bytes) {
-            mIsEmpty &= bytes.length == 0;
+            mReceivedBytes += bytes.length;
+            if (mReceivedBytes > mSelection.maximumBytes()) {
+                throw new IllegalArgumentException(
+                        "it has more than " + mSelection.maximumBytes() + " bytes");
+            }
             mSplitter.write(bytes);
         }
 
         @Override
         public int size() {
-            return mSplitter.size();
+            return mSplitter.size() + mEntryBytes;
         }
 
         @Override
-        public JsonNode decodeBody() {
-            return mIsEmpty || mSplitter.isComplete()
-                    ? StoreEntry.ofFields(mSplitter.fields()).content()
-                    : JsonNodeFactory.instance.missingNode();
+        public int maximumSize() {
+            return MAXIMUM_RESPONSE_BYTES;
+        }
+
+        @Override
+        public JsonNode decodeBody(int status) {
+            if (mReceivedBytes > 0 && !mSplitter.isComplete()) {
+                return JsonNodeFactory.instance.missingNode();
+            }
+            // The body of an error response is for its message.
+            JsonSelection selection =
+                    status < HttpStatus.SC_REDIRECTION
+                            ? mSelection.body()
+                            : JsonSelection.EVERYTHING;
+            return StoreEntry.ofFields(mSplitter.fields(), selection, mDecoder).content();
         }
 
         @Override
         public List<StoreEntry> entries() {
-            return mSplitter.entries().stream().map(StoreEntry::decode).toList();
+            return List.copyOf(mEntries);
         }
     }
 }
--- a/src/main/java/org/vanilladoor/platform/StoreFeed.java
+++ b/src/main/java/org/vanilladoor/platform/StoreFeed.java
@@ -96,7 +96,7 @@
             long waitMillis = Math.max(MINIMUM_WAIT_MILLIS, Math.min(mWaitMillis, remainingMillis));
             new Watch().start(waitMillis);
         } else {
-            mClient.listAll(mKind)
+            mClient.listAll(mKind, mListener.selection(), mListener::isOfUse)
                     .thenAccept(this::applyListing)
                     .whenComplete((ignored, failure) -> scheduleNextPoll(failure));
         }
@@ -211,7 +211,7 @@
         private void call(long waitMillis, ConnectionUse use) {
             mOpenCalls++;
             long requestedMillis = ExpiryClock.nowMillis();
-            mClient.awaitChanges(mKind, mRevision, waitMillis, use)
+            mClient.awaitChanges(mKind, mRevision, waitMillis, use, mListener.selection())
                     .thenAccept(changes -> onResponse(changes, requestedMillis, waitMillis))
                     .whenComplete((ignored, failure) -> onCallEnded(failure));
         }
@@ -248,7 +248,17 @@
 
     /** Receives the objects of a kind and their changes on the control thread. */
     interface Listener {
-        /** Called with all objects of the kind, which replace those reported before. */
+        /** Returns what is needed of each object. */
+        default JsonSelection selection() {
+            return JsonSelection.EVERYTHING;
+        }
+
+        /** Returns whether an object of a listing is to be reported; others take no memory. */
+        default boolean isOfUse(JsonNode object) {
+            return true;
+        }
+
+        /** Called with all objects of use, which replace those reported before. */
         void onListed(List<JsonNode> objects);
 
         /** Called with each new or changed object. */
--- a/src/main/java/org/vanilladoor/transport/ConnectionPool.java
+++ b/src/main/java/org/vanilladoor/transport/ConnectionPool.java
@@ -201,6 +201,11 @@
         return mMemory.open(MemoryBudget.Use.RESPONSE_INPUT);
     }
 
+    /** Opens an account for what the sender of a call keeps of its response. */
+    public MemoryBudget.Account openAccount(MemoryBudget.Use use) {
+        return mMemory.open(use);
+    }
+
     /** Returns whether the pool can still open connections. */
     public boolean isRunning() {
         return !mShutDown && mRequester.getStatus() == IOReactorStatus.ACTIVE;
--- a/src/test/java/org/vanilladoor/common/ControlLoopTests.java
+++ b/src/test/java/org/vanilladoor/common/ControlLoopTests.java
@@ -1,9 +1,12 @@
 package org.vanilladoor.common;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -32,6 +35,19 @@
         }
     }
 
+    /** Whoever waits for the task would wait without an end. */
+    @Test
+    void anErrorOfATaskFailsItsFuture() {
+        try (ControlLoop control = ControlLoop.start("control")) {
+            CompletableFuture<Object> result =
+                    control.submit(
+                            () -> {
+                                throw new OutOfMemoryError("thrown by the test");
+                            });
+            assertThrows(ExecutionException.class, () -> result.get(10, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void aCancelledTimerIsDroppedAtOnce() {
         try (ControlLoop control = ControlLoop.start("control")) {
--- a/src/test/java/org/vanilladoor/platform/EndpointMarksTests.java
+++ b/src/test/java/org/vanilladoor/platform/EndpointMarksTests.java
@@ -97,7 +97,10 @@
     }
 
     private JsonNode entry() {
-        List<JsonNode> items = mClient.listAll(EndpointFeed.KIND).join().items();
+        List<JsonNode> items =
+                mClient.listAll(EndpointFeed.KIND, JsonSelection.EVERYTHING, any -> true)
+                        .join()
+                        .items();
         assertThat(items).hasSize(1);
         return items.get(0);
     }
--- a/src/test/java/org/vanilladoor/platform/OddEntryProcessTests.java
+++ b/src/test/java/org/vanilladoor/platform/OddEntryProcessTests.java
@@ -17,18 +17,25 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.vanilladoor.command.ProgramProcess;
 import org.vanilladoor.common.HostPort;
+import org.vanilladoor.common.Json;
 
 /** Guards against a VM that ends or serves nothing since the store holds odd entries. */
 class OddEntryProcessTests {
-    private static final int PAGE_SIZE = 5;
+    private static final int PAGE_SIZE = 500;
     private static final int SOCKET_TIMEOUT_MILLIS = 2_000;
 
     /** Covers the start of the process and the time in which a lease is taken over. */
     private static final long START_MILLIS = 30_000;
 
     private static final long IN_TIME_MILLIS = 3_000;
+
+    /** Time after a restart of all VMs in which requests have to be served again. */
+    private static final long RECOVERY_MILLIS = 12_000;
+
     private static final long POLL_NANOS = 20_000_000;
     private static final int LARGE = 20_000;
     private static final List<String> OWN_KINDS = List.of("lease", "members", "roster", "crashes");
@@ -74,6 +81,42 @@
         assertThat(unreadableObjects()).containsNoDuplicates();
     }
 
+    /** Memory has to hold what is needed of the entries, not all that they decode into. */
+    @ParameterizedTest
+    @EnumSource(LargeContent.class)
+    void aVmServesAmongLargeEntriesWhetherItRunsOrStarts(LargeContent large) throws IOException {
+        putLargeEntries(large, EndpointFeed.KIND, "a");
+        putLargeEntries(large, "vanilladoor-crashes", "a");
+        putEndpoint("m", "plain");
+        putConfiguration(1, "plain");
+        startProcess();
+        awaitServed("/plain/", RECOVERY_MILLIS);
+        putLargeEntries(large, EndpointFeed.KIND, "b");
+        putEndpoint("n", "added");
+        putConfiguration(2, "added");
+        awaitServed("/added/", RECOVERY_MILLIS);
+        assertThat(mProcess.isRunning()).isTrue();
+        assertThat(Files.readString(log().toPath())).doesNotContain("OutOfMemoryError");
+    }
+
+    @Test
+    void anEndpointWithALargeUnknownFieldIsUsed() throws IOException {
+        mStore.put(
+                EndpointFeed.KIND,
+                "m",
+                endpointSpec("plain").replace("}", ",\"more\":\"" + "x".repeat(900_000) + "\"}"));
+        putConfiguration(1, "plain");
+        startProcess();
+        awaitServed("/plain/", START_MILLIS);
+    }
+
+    private void putLargeEntries(LargeContent large, String kind, String prefix) {
+        for (int index = 0; index < large.count(); index++) {
+            String name = prefix + index;
+            mStore.putWithMeta(kind, name, Json.write(name), large.spec(index), large.status());
+        }
+    }
+
     private void putOddEntries(String prefix) {
         for (OddContent odd : OddContent.values()) {
             String name = prefix + "-" + odd.ordinal();
@@ -88,14 +131,15 @@
     }
 
     private void putEndpoint(String name, String service) {
-        mStore.put(
-                EndpointFeed.KIND,
-                name,
-                "{\"service\":\""
-                        + service
-                        + "\",\"addr\":\""
-                        + mEndpoint.address()
-                        + "\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\",\"born\":5}");
+        mStore.put(EndpointFeed.KIND, name, endpointSpec(service));
+    }
+
+    private String endpointSpec(String service) {
+        return "{\"service\":\""
+                + service
+                + "\",\"addr\":\""
+                + mEndpoint.address()
+                + "\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\",\"born\":5}";
     }
 
     private void putConfiguration(long version, String service) {
--- a/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
+++ b/src/test/java/org/vanilladoor/platform/PlatformCallsTests.java
@@ -71,6 +71,17 @@
         assertFails(received -> Answer.endless("", KILOBYTE));
     }
 
+    /** Decoded, a report of many small parts takes twenty times its size. */
+    @Test
+    void aReportLargerThanAnyValidOneFailsTheCall() throws Exception {
+        String body = "[" + "[],".repeat(100_000) + "[]]";
+        assertFails(
+                received ->
+                        new Answer(
+                                OK + "Content-Length: " + body.length() + "\r\n\r\n" + body,
+                                End.KEEP));
+    }
+
     @ParameterizedTest
     @EnumSource(HeaderNameFault.class)
     void anInvalidHeaderNameFailsTheCall(HeaderNameFault fault) throws Exception {
--- a/src/test/java/org/vanilladoor/platform/RawObjectStore.java
+++ b/src/test/java/org/vanilladoor/platform/RawObjectStore.java
@@ -27,6 +27,7 @@
 final class RawObjectStore implements AutoCloseable {
     private static final String PREFIX = "/api/objects/";
     private static final int MAXIMUM_BODY_BYTES = 1_048_576;
+    private static final int MAXIMUM_PAGE_BYTES = 1_000_000;
     private final HttpService mService;
     private final int mPageSize;
     private final Map<String, TreeMap<String, RawObject>> mObjectsByKind = new HashMap<>();
@@ -45,7 +46,8 @@
     /**
      * Starts a store.
      *
-     * @param pageSize maximum number of objects in a response to a listing
+     * @param pageSize maximum number of objects in a response to a listing, which has no more than
+     *     1 MB either, unless it is of one object
      */
     static RawObjectStore start(int pageSize) throws IOException {
         return new RawObjectStore(pageSize);
@@ -168,13 +170,18 @@
         mListRequests.add(exchange.target());
         TreeMap<String, RawObject> all = objectsOf(kind);
         var rest = exchange.queryParameter("after").map(name -> all.tailMap(name, false));
-        List<byte[]> items =
-                rest.orElse(all).values().stream()
-                        .limit(mPageSize + 1L)
-                        .map(RawObject::toJson)
-                        .toList();
-        boolean hasMore = items.size() > mPageSize;
-        return page("items", hasMore ? items.subList(0, mPageSize) : items, hasMore);
+        List<byte[]> items = new ArrayList<>();
+        int bytes = 0;
+        for (RawObject object : rest.orElse(all).values()) {
+            byte[] json = object.toJson();
+            bytes += json.length;
+            boolean fits = items.isEmpty() || bytes <= MAXIMUM_PAGE_BYTES;
+            if (!fits || items.size() == mPageSize) {
+                return page("items", items, true);
+            }
+            items.add(json);
+        }
+        return page("items", items, false);
     }
 
     private synchronized byte[] watch(String kind, long since, long waitMillis)
