Split the store's client and the callers' exchange

ListingPages, ObjectSelections and ResponseState have files of their own; a receiver that fails and a step of a response that fails go through the same method.

--- a/src/main/java/org/vanilladoor/platform/ObjectClient.java
+++ b/src/main/java/org/vanilladoor/platform/ObjectClient.java
@@ -7,12 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Predicate;
@@ -22,7 +18,6 @@
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.HostPort;
 import org.vanilladoor.common.Json;
-import org.vanilladoor.common.MemoryBudget;
 import org.vanilladoor.common.SendPermit;
 import org.vanilladoor.provider.ObjectStore;
 import org.vanilladoor.provider.StoreUnavailableException;
@@ -41,41 +36,16 @@
  * time fails with {@link StoreUnavailableException}, and its connection is closed, since it can't
  * be used for another call. A response counts as the one to a read or a write only if it has that
  * object, and after a write a later version of it. A listing keeps only what is selected of the
- * objects that are of use, and no more than {@link #MAXIMUM_LISTING_BYTES} of them. Methods may be
- * called by any thread; futures complete on the control thread.
+ * objects that are of use, and no more than {@link ListingPages#MAXIMUM_BYTES} of them. Methods may
+ * be called by any thread; futures complete on the control thread.
  */
 final class ObjectClient implements ObjectStore, StoredObjectLister {
     private static final String PATH = "/api/objects/";
-    private static final String ITEMS_FIELD = "items";
-    private static final String EVENTS_FIELD = "events";
     private static final String REVISION_FIELD = "current_rev";
-    private static final String META_FIELD = "meta";
-    private static final String SPEC_FIELD = "spec";
-    private static final Set<String> LIST_FIELDS = Set.of(ITEMS_FIELD, EVENTS_FIELD);
-
-    /** The name and the version of an object. */
-    private static final JsonSelection META =
-            JsonSelection.ofFields(
-                    Map.of("name", JsonSelection.SCALAR, "rev", JsonSelection.SCALAR));
-
-    private static final JsonSelection NAMES = JsonSelection.ofFields(Map.of(META_FIELD, META));
-
-    /** Our own objects are decoded by those who know their types. */
-    private static final JsonSelection ENCODED_OBJECTS =
-            JsonSelection.ofFields(Map.of(META_FIELD, META, SPEC_FIELD, JsonSelection.ENCODED));
-
-    private static final JsonSelection STATUSES =
-            JsonSelection.ofFields(Map.of(META_FIELD, META, "status", JsonSelection.EVERYTHING));
 
     /** Prefix of the kinds of our own objects. */
     private static final String KIND_PREFIX = "vanilladoor-";
 
-    /** Maximum memory of the objects of a listing; a fleet of 840 endpoints takes about 1 MB. */
-    private static final int MAXIMUM_LISTING_BYTES = 16 * 1024 * 1024;
-
-    /** Size of changes above which listing the objects in pages is sooner done. */
-    private static final long MAXIMUM_CHANGES_BYTES = 8 * 1024 * 1024;
-
     /** Time-out for a response; a healthy store responds within a few milliseconds. */
     private static final long RESPONSE_TIMEOUT_MILLIS = 900;
 
@@ -148,7 +118,8 @@
      */
     @Override
     public CompletableFuture<List<String>> list(String prefix) {
-        Pages pages = new Pages(platformKind(prefix + "/"), "", NAMES, object -> true);
+        ListingPages pages =
+                newPages(platformKind(prefix + "/"), "", ObjectSelections.NAMES, object -> true);
         return listPages(pages)
                 .thenApply(
                         listing ->
@@ -173,9 +144,12 @@
     public CompletableFuture<List<StoredObject>> listKind(String anyName, boolean mayBeStale) {
         String kind = platformKind(anyName);
         String prefix = kindPrefix(anyName);
-        Pages pages =
-                new Pages(
-                        kind, mayBeStale ? "serializable=1" : "", ENCODED_OBJECTS, object -> true);
+        ListingPages pages =
+                newPages(
+                        kind,
+                        mayBeStale ? "serializable=1" : "",
+                        ObjectSelections.ENCODED_OBJECTS,
+                        object -> true);
         return listPages(pages)
                 .thenApply(
                         listing ->
@@ -192,17 +166,7 @@
      */
     CompletableFuture<Listing> listAll(
             String kind, JsonSelection selection, Predicate<JsonNode> isOfUse) {
-        return listPages(new Pages(kind, "", withMeta(selection), isOfUse));
-    }
-
-    /** Adds what this client needs of each object. */
-    private static JsonSelection withMeta(JsonSelection selection) {
-        if (selection.mode() != JsonSelection.Mode.FIELDS) {
-            return selection;
-        }
-        Map<String, JsonSelection> fields = new HashMap<>(selection.fields());
-        fields.put(META_FIELD, META);
-        return JsonSelection.ofFields(fields);
+        return listPages(newPages(kind, "", ObjectSelections.withMeta(selection), isOfUse));
     }
 
     /**
@@ -220,18 +184,13 @@
             ConnectionUse use,
             JsonSelection selection) {
         String path = PATH + encode(kind) + "?watch=" + revision + "&wait_ms=" + waitMillis;
-        JsonSelection event =
-                JsonSelection.ofFields(
-                        Map.of("object", withMeta(selection), "tombstone", JsonSelection.SCALAR));
         return send(
                         "GET",
                         path,
                         use,
                         Optional.empty(),
                         waitMillis + RESPONSE_TIMEOUT_MILLIS,
-                        event,
-                        JsonSelection.EVERYTHING,
-                        MAXIMUM_CHANGES_BYTES,
+                        ObjectSelections.ofChanges(selection),
                         SendPermit.UNLIMITED)
                 .thenApply(
                         response -> {
@@ -290,9 +249,7 @@
                         ConnectionUse.ANY,
                         Optional.empty(),
                         RESPONSE_TIMEOUT_MILLIS,
-                        NAMES,
-                        STATUSES,
-                        Long.MAX_VALUE,
+                        ObjectSelections.STATUS,
                         permit)
                 .thenCompose(
                         response -> {
@@ -313,9 +270,7 @@
                                             ConnectionUse.ANY,
                                             Optional.of(body),
                                             RESPONSE_TIMEOUT_MILLIS,
-                                            NAMES,
-                                            STATUSES,
-                                            Long.MAX_VALUE,
+                                            ObjectSelections.STATUS,
                                             permit)
                                     .thenAccept(
                                             written ->
@@ -339,40 +294,44 @@
         return StandardCharsets.UTF_8.newEncoder().canEncode(text);
     }
 
-    private CompletableFuture<Listing> listPages(Pages pages) {
+    private ListingPages newPages(
+            String kind, String query, JsonSelection selection, Predicate<JsonNode> isOfUse) {
+        return ListingPages.create(kind, query, selection, isOfUse, mCalls.openAccount());
+    }
+
+    private CompletableFuture<Listing> listPages(ListingPages pages) {
         CompletableFuture<Listing> listing = requestPage(pages);
-        return listing.whenComplete((found, failure) -> pages.mAccount.close());
+        return listing.whenComplete((found, failure) -> pages.close());
     }
 
-    private CompletableFuture<Listing> requestPage(Pages pages) {
+    private CompletableFuture<Listing> requestPage(ListingPages pages) {
         return send(
                         "GET",
-                        pages.path(),
+                        PATH + pages.target(),
                         ConnectionUse.ANY,
                         Optional.empty(),
                         RESPONSE_TIMEOUT_MILLIS,
-                        pages.mSelection,
-                        JsonSelection.EVERYTHING,
-                        Long.MAX_VALUE,
+                        ObjectSelections.ofPage(pages.selection()),
                         SendPermit.UNLIMITED)
                 .thenCompose(response -> addPage(pages, response));
     }
 
-    private CompletableFuture<Listing> addPage(Pages pages, PlatformCalls.Response response) {
+    private CompletableFuture<Listing> addPage(
+            ListingPages pages, PlatformCalls.Response response) {
         JsonNode body = response.requireNumber(REVISION_FIELD);
         for (StoreEntry entry : response.entries()) {
-            logUnreadable(pages.mKind, entry, entry.content());
+            logUnreadable(pages.kind(), entry, entry.content());
             pages.add(entry);
         }
         if (body.path("has_more").asBoolean(false)) {
             if (pages.advance()) {
                 return requestPage(pages);
             }
-            EventLog.write("store", "listing.incomplete", "kind", pages.mKind);
+            EventLog.write("store", "listing.incomplete", "kind", pages.kind());
         }
         pages.logDropped();
         return CompletableFuture.completedFuture(
-                new Listing(pages.mFound, body.path(REVISION_FIELD).asLong()));
+                new Listing(pages.found(), body.path(REVISION_FIELD).asLong()));
     }
 
     private void logUnreadable(String kind, StoreEntry entry, JsonNode object) {
@@ -404,9 +363,7 @@
                 ConnectionUse.ANY,
                 body,
                 timeoutMillis,
-                NAMES,
-                JsonSelection.EVERYTHING,
-                Long.MAX_VALUE,
+                ObjectSelections.OBJECT,
                 SendPermit.UNLIMITED);
     }
 
@@ -416,9 +373,7 @@
             ConnectionUse use,
             Optional<Object> body,
             long timeoutMillis,
-            JsonSelection entry,
-            JsonSelection responseBody,
-            long maximumBytes,
+            PlatformCalls.ContentSelection content,
             SendPermit permit) {
         return mCalls.sendForEntries(
                 mAddress,
@@ -426,13 +381,15 @@
                 new BasicHttpRequest(method, path),
                 body,
                 timeoutMillis,
-                new PlatformCalls.ContentSelection(LIST_FIELDS, entry, responseBody, maximumBytes),
+                content,
                 permit);
     }
 
     private static StoredObject toStoredObject(String name, JsonNode object) {
         return new StoredObject(
-                name, ObjectResponses.versionOf(object), contentOf(object.path(SPEC_FIELD)));
+                name,
+                ObjectResponses.versionOf(object),
+                contentOf(object.path(ObjectSelections.SPEC_FIELD)));
     }
 
     private static byte[] contentOf(JsonNode spec) {
@@ -444,7 +401,7 @@
     }
 
     /** Encodes a name for use as a part of a path or query. */
-    private static String encode(String name) {
+    static String encode(String name) {
         return URLEncoder.encode(name, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
@@ -464,80 +421,6 @@
         return PATH + encode(platformKind(name)) + "/" + encode(platformName(name));
     }
 
-    /**
-     * The pages of a listing that have been received.
-     *
-     * <p>Invariant: what is kept of them is charged to the memory of all messages, and bounded.
-     * Confined to the control thread.
-     */
-    private final class Pages {
-        private final String mKind;
-        private final String mQuery;
-        private final JsonSelection mSelection;
-        private final Predicate<JsonNode> mIsOfUse;
-        private final MemoryBudget.Account mAccount = mCalls.openAccount();
-        private final List<JsonNode> mFound = new ArrayList<>();
-        private final Set<String> mContinuations = new HashSet<>();
-        private String mAfter = "";
-        private String mLastName = "";
-        private int mBytes;
-        private int mDropped;
-
-        Pages(String kind, String query, JsonSelection selection, Predicate<JsonNode> isOfUse) {
-            mKind = kind;
-            mQuery = query;
-            mSelection = selection;
-            mIsOfUse = isOfUse;
-        }
-
-        /** Returns the path and query of the next page. */
-        String path() {
-            String query =
-                    mAfter.isEmpty()
-                            ? mQuery
-                            : mQuery + (mQuery.isEmpty() ? "" : "&") + "after=" + encode(mAfter);
-            return PATH + encode(mKind) + (query.isEmpty() ? "" : "?" + query);
-        }
-
-        void add(StoreEntry entry) {
-            String name = nameOf(entry.content());
-            mLastName = name.isEmpty() ? mLastName : name;
-            if (!mIsOfUse.test(entry.content())) {
-                return;
-            }
-            if (mBytes + entry.bytes() > MAXIMUM_LISTING_BYTES) {
-                mDropped++;
-                return;
-            }
-            mFound.add(entry.content());
-            mBytes += entry.bytes();
-            mAccount.resize(mBytes);
-        }
-
-        /**
-         * Continues after the last name that can be read; returns false if that would request a
-         * page again. Entries after that name are repeated on the next page.
-         */
-        boolean advance() {
-            mAfter = mLastName;
-            return !mAfter.isEmpty() && mContinuations.add(mAfter);
-        }
-
-        void logDropped() {
-            if (mDropped > 0) {
-                EventLog.write(
-                        "store",
-                        "listing.too_large",
-                        "kind",
-                        mKind,
-                        "kept",
-                        mFound.size(),
-                        "dropped",
-                        mDropped);
-            }
-        }
-    }
-
     /**
      * The objects of a kind.
      *
--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -120,24 +120,20 @@
 
     /** Sends a complete response. */
     public void respond(HttpResponse head, byte[] body) {
-        closeOnFailure(
-                () ->
-                        startResponse(
-                                head,
-                                new BasicEntityDetails(body.length, null),
-                                ByteBuffer.wrap(body),
-                                ResponseState.ENDED));
+        startResponse(
+                head,
+                new BasicEntityDetails(body.length, null),
+                ByteBuffer.wrap(body),
+                ResponseState.ENDED);
     }
 
     /** Starts a response of unknown length. */
     public void startStream(HttpResponse head, byte[] firstBytes) {
-        closeOnFailure(
-                () ->
-                        startResponse(
-                                head,
-                                new BasicEntityDetails(-1, null),
-                                ByteBuffer.wrap(firstBytes),
-                                ResponseState.STREAMING));
+        startResponse(
+                head,
+                new BasicEntityDetails(-1, null),
+                ByteBuffer.wrap(firstBytes),
+                ResponseState.STREAMING);
     }
 
     /** Sends more of a response started with {@link #startStream}. */
@@ -205,7 +201,8 @@
             ResponseChannel responseChannel,
             HttpContext context)
             throws HttpException, IOException {
-        mSession.onCallerClosed(this::onCallerClosed);
+        // HttpCore would still send the response after the caller has closed its side.
+        mSession.onCallerClosed(this::disconnect);
         mRequest = request;
         mResponseChannel = responseChannel;
         mContext = context;
@@ -253,16 +250,7 @@
     private void passOn() {
         if (!mPassedToReceiver) {
             mPassedToReceiver = true;
-            mControl.execute(this::passToReceiver);
-        }
-    }
-
-    private void passToReceiver() {
-        try {
-            mReceiver.accept(this);
-        } catch (RuntimeException | Error e) {
-            LOG.error("front: Closing a connection whose request could not be handled.", e);
-            disconnect();
+            mControl.execute(() -> closeOnFailure(() -> mReceiver.accept(this)));
         }
     }
 
@@ -335,13 +323,6 @@
         handleDisconnect();
     }
 
-    /**
-     * Ends the exchange when the caller closes its side; HttpCore would still send the response.
-     */
-    private void onCallerClosed() {
-        disconnect();
-    }
-
     /** Closes the connection and reports that to the owner of the response. */
     private void disconnect() {
         try {
@@ -352,18 +333,14 @@
     }
 
     /**
-     * Runs a step of the response; one that fails closes the connection, since it is not known how
-     * much of the response HttpCore has taken.
+     * Runs a step of the exchange; one that fails closes the connection, since it is not known how
+     * much of a response HttpCore has taken.
      */
     private void closeOnFailure(Runnable step) {
         try {
             step.run();
-        } catch (UncheckedIOException e) {
-            LOG.warn("front: Closing a connection whose response can't be sent: {}.", e.toString());
-            disconnect();
-            throw e;
         } catch (RuntimeException | Error e) {
-            LOG.error("front: Closing a connection whose response can't be sent.", e);
+            LOG.warn("front: Closing a connection after a failure: {}.", e.toString());
             disconnect();
             throw e;
         }
@@ -393,15 +370,18 @@
 
     private void startResponse(
             HttpResponse head, EntityDetails entity, ByteBuffer firstBytes, ResponseState next) {
-        synchronized (this) {
-            if (!tryAdvance(ResponseState.NOT_STARTED, next)) {
-                return;
-            }
-            mUnsent.add(firstBytes);
-        }
-        if (!tryDefer(head, entity)) {
-            send(head, entity);
-        }
+        closeOnFailure(
+                () -> {
+                    synchronized (this) {
+                        if (!tryAdvance(ResponseState.NOT_STARTED, next)) {
+                            return;
+                        }
+                        mUnsent.add(firstBytes);
+                    }
+                    if (!tryDefer(head, entity)) {
+                        send(head, entity);
+                    }
+                });
     }
 
     /**
@@ -424,10 +404,8 @@
     private void send(HttpResponse head, EntityDetails entity) {
         try {
             mResponseChannel.sendResponse(head, entity, mContext);
-        } catch (HttpException e) {
-            throw new IllegalArgumentException("the response is not valid: " + e.getMessage(), e);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        } catch (HttpException | IOException e) {
+            throw new UncheckedIOException(new IOException("the response can't be sent", e));
         }
     }
 
@@ -463,11 +441,4 @@
             output.requestOutput();
         }
     }
-
-    /** How far the response has come. */
-    private enum ResponseState {
-        NOT_STARTED,
-        STREAMING,
-        ENDED
-    }
 }
