--- a/src/main/java/org/vanilladoor/common/FailureCollector.java
+++ b/src/main/java/org/vanilladoor/common/FailureCollector.java
@@ -18,6 +18,15 @@
         return new FailureCollector();
     }
 
+    /** Runs all steps, and then throws the first failure, if there is one. */
+    public static void runAll(Runnable... steps) {
+        FailureCollector collector = create();
+        for (Runnable step : steps) {
+            collector.run(step);
+        }
+        collector.rethrow();
+    }
+
     /** Runs a step; a failure after the first one is added to it as suppressed. */
     public void run(Runnable step) {
         try {
--- a/src/main/java/org/vanilladoor/gateway/AttemptBudget.java
+++ b/src/main/java/org/vanilladoor/gateway/AttemptBudget.java
@@ -32,6 +32,14 @@
         mMetrics = metrics;
     }
 
+    /** Returns the budget of a request to a service that has made no call. */
+    static AttemptBudget create(GatewayContext context, String service) {
+        return create(
+                context.retryBudgets().forService(service),
+                context.state()::vmCount,
+                context.metrics());
+    }
+
     /**
      * Returns the budget of a request that has made no call.
      *
--- a/src/main/java/org/vanilladoor/gateway/EndpointCall.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointCall.java
@@ -2,7 +2,10 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import org.vanilladoor.common.MonotonicClock;
 import org.vanilladoor.fleet.Endpoint;
+import org.vanilladoor.route.AuthorizedTeam;
+import org.vanilladoor.route.Route;
 
 /**
  * The parameters of one endpoint call made on behalf of a caller's request.
@@ -32,6 +35,29 @@
         Objects.requireNonNull(stage, "stage");
     }
 
+    /**
+     * Returns the next call for a request.
+     *
+     * @param kvCache KV cache of the prompt, which a run takes
+     */
+    static EndpointCall of(
+            Endpoint endpoint,
+            Stage stage,
+            CallerRequest request,
+            RequestProgress progress,
+            Optional<AuthorizedTeam> team,
+            Route route,
+            KvCacheSlot kvCache) {
+        return new EndpointCall(
+                endpoint,
+                stage,
+                Math.max(1, progress.deadlineMillis() - MonotonicClock.nowMillis()),
+                team.map(AuthorizedTeam::name),
+                Urgency.of(route, team),
+                stage == Stage.RUN ? kvCache.takeForCall() : Optional.empty(),
+                progress.events().lastIdentifier().or(request::lastEventIdentifier));
+    }
+
     /** The work that an endpoint is asked to do for a request. */
     public enum Stage {
         /** Prefill the prompt and keep its KV cache for another endpoint to fetch. */
--- a/src/main/java/org/vanilladoor/gateway/EndpointChoice.java
+++ b/src/main/java/org/vanilladoor/gateway/EndpointChoice.java
@@ -22,6 +22,9 @@
     /** Part of the objective for which a prompt may wait at an engine; urgent ones can't pass. */
     private static final double MAXIMUM_WAIT_OBJECTIVES = 0.5;
 
+    /** Prompts longer than this many tokens are prefilled on a separate engine. */
+    private static final long SEPARATE_PREFILL_THRESHOLD_TOKENS = 600;
+
     private final Placement mPlacement;
     private final RequestProfile mProfile;
     private final long mObjectiveMillis;
@@ -81,8 +84,11 @@
         return hasOthers ? Refusal.NOT_RUN : Refusal.NO_ENDPOINT;
     }
 
-    boolean hasPrefillEngines() {
-        return mPlacement.hasPrefillEngines(mProfile.service(), mExcluded);
+    /** Returns whether another engine is expected to prefill the prompt sooner, if it is long. */
+    boolean isSeparatePrefillSooner() {
+        return mProfile.promptTokens() > SEPARATE_PREFILL_THRESHOLD_TOKENS
+                && mPlacement.hasPrefillEngines(mProfile.service(), mExcluded)
+                && !mPlacement.isOwnPrefillSooner(mProfile, mExcluded, now());
     }
 
     /** Returns when an endpoint will have room, if limits alone keep the request back. */
@@ -101,11 +107,6 @@
                 mProfile, MAXIMUM_WAIT_OBJECTIVES * mObjectiveMillis, mExcluded, now());
     }
 
-    /** Returns whether the engine that runs the request is expected to prefill it sooner. */
-    boolean isOwnPrefillSooner() {
-        return mPlacement.isOwnPrefillSooner(mProfile, mExcluded, now());
-    }
-
     /** Returns the endpoint that is to run the request. */
     Optional<Endpoint> runEndpoint(KvCacheSlot kvCache) {
         return mPlacement.chooseEndpoint(
--- a/src/main/java/org/vanilladoor/gateway/Gateway.java
+++ b/src/main/java/org/vanilladoor/gateway/Gateway.java
@@ -28,7 +28,7 @@
  * #MAXIMUM_KEY_CONFIRMATION_AGE_MILLIS} ms. Confined to the control thread.
  */
 public final class Gateway {
-    /** Interval between attempts to dispatch queued requests. */
+    /** Interval between attempts to dispatch requests that wait. */
     private static final Duration QUEUE_CHECK_INTERVAL = Duration.ofMillis(25);
 
     /**
@@ -94,7 +94,11 @@
         Gateway gateway = new Gateway(context);
         control.scheduleWithFixedDelay(
                 QUEUE_CHECK_INTERVAL,
-                () -> context.waitQueues().advanceAll(MonotonicClock.nowMillis()));
+                () -> {
+                    long nowMillis = MonotonicClock.nowMillis();
+                    context.waitQueues().advanceAll(nowMillis);
+                    context.promptGuard().tick(nowMillis);
+                });
         return gateway;
     }
 
--- a/src/main/java/org/vanilladoor/gateway/Refusal.java
+++ b/src/main/java/org/vanilladoor/gateway/Refusal.java
@@ -33,6 +33,8 @@
     NO_MEMORY(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** A part of the prompt crashes engines, so that the request is not sent to any. */
     QUARANTINED(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
+    /** A part of the prompt may crash engines, and it takes longer to find out than to refuse. */
+    IN_DOUBT(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** No endpoint ran the request, and no further call is allowed. */
     NOT_RUN(HttpStatus.SC_SERVICE_UNAVAILABLE, true),
     /** An endpoint received the request and returned no complete, valid response. */
--- a/src/main/java/org/vanilladoor/gateway/RequestExecution.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestExecution.java
@@ -22,35 +22,29 @@
  * the control thread.
  */
 final class RequestExecution {
-    /** Prompts longer than this many tokens are prefilled on a separate engine. */
-    private static final long SEPARATE_PREFILL_THRESHOLD_TOKENS = 600;
-
     /** Connect timeout; within a region, connecting takes a few milliseconds. */
     private static final long CONNECT_TIMEOUT_MILLIS = 300;
 
     /** Time limit of a prefill call, as a multiple of the route's latency objective. */
     private static final int PREFILL_TIMEOUT_OBJECTIVES = 5;
 
-    /** Time that a response takes in addition to the work of its endpoint. */
-    private static final long RESPONSE_OVERHEAD_MILLIS = 30;
-
     private final GatewayContext mContext;
     private final CallerResponse mResponse;
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final Optional<AuthorizedTeam> mTeam;
     private final String mService;
-    private final long mDeadlineMillis;
     private final RequestLog mLog;
     private final AttemptBudget mAttemptBudget;
     private final EndpointChoice mChoice;
     private final PrefillLoad mPrefillLoad;
     private final RequestAdmission mAdmission;
+    private final PromptAdmission mPromptAdmission;
     private final RequestProgress mProgress;
     private final KvCacheSlot mKvCache = KvCacheSlot.empty();
     private Runnable mOnEnd = () -> {};
-    private WaitQueue.QueuedRequest mQueuedRequest;
-    private EndpointExchange mCall;
+    private final CallSlot mCall = CallSlot.empty();
+    private final QueuePlace mQueuePlace;
     private boolean mSkipSeparatePrefill;
     private boolean mFinished;
 
@@ -68,32 +62,28 @@
         mProgress = RequestProgress.start(request, route);
         mTeam = team;
         mService = route.service(context.random().nextDouble());
-        mAttemptBudget =
-                AttemptBudget.create(
-                        context.retryBudgets().forService(mService),
-                        context.state()::vmCount,
-                        context.metrics());
+        mAttemptBudget = AttemptBudget.create(context, mService);
         mChoice = EndpointChoice.create(context, request, route, mService);
         mAdmission = RequestAdmission.of(context.allowances(), request, team);
-        mDeadlineMillis = mProgress.deadlineMillis();
+        mPromptAdmission = PromptAdmission.create(context, mLog, mProgress, sharedParts());
         mPrefillLoad = PrefillLoad.create(context.load(), mService, mProgress.dueMillis(route));
+        mQueuePlace = QueuePlace.create(waitQueue(), mPrefillLoad);
     }
 
     /** Starts; the action runs once the request has its response or the caller has disconnected. */
     void start(Runnable onEnd) {
         mOnEnd = onEnd;
-        runStep(
-                () -> {
-                    long nowMillis = MonotonicClock.nowMillis();
-                    mResponse.limitTime(
-                            Math.max(0, mDeadlineMillis - nowMillis),
-                            () -> runStep(this::onTimeout));
-                    mResponse.onDisconnect(() -> runStep(this::onCallerDisconnected));
-                    mAdmission.start(
-                            () -> runStep(this::beginFirstAttempt),
-                            (millisUntilRoom, reason) ->
-                                    runStep(() -> refuseOverAllowance(millisUntilRoom, reason)));
-                });
+        runStep(this::awaitAdmission);
+    }
+
+    private void awaitAdmission() {
+        long remainingMillis = Math.max(0, mProgress.deadlineMillis() - MonotonicClock.nowMillis());
+        mResponse.limitTime(remainingMillis, () -> runStep(this::onTimeout));
+        mResponse.onDisconnect(() -> runStep(this::onCallerDisconnected));
+        mAdmission.start(
+                () -> runStep(this::beginFirstAttempt),
+                (millisUntilRoom, reason) ->
+                        runStep(() -> refuse(Refusal.OVER_ALLOWANCE, millisUntilRoom, reason)));
     }
 
     /**
@@ -116,9 +106,10 @@
     void endAfterFailure(Throwable failure) {
         FailureCollector steps = FailureCollector.create();
         steps.run(() -> mLog.writeFailed(failure));
-        steps.run(this::abandonCall);
-        mCall = null;
-        steps.run(this::markPossiblyRunAfterFailure);
+        steps.run(() -> mCall.abandon(mProgress));
+        if (mAttemptBudget.calls() > 0) {
+            mProgress.markPossiblyRun();
+        }
         if (!isDone()) {
             steps.run(() -> mResponse.fail(failure));
         }
@@ -126,31 +117,20 @@
         steps.failure().ifPresent(mLog::writeFailed);
     }
 
-    private void markPossiblyRunAfterFailure() {
-        if (mAttemptBudget.calls() > 0) {
-            mProgress.markPossiblyRun();
-        }
-    }
-
     private void beginFirstAttempt() {
-        long nowMillis = MonotonicClock.nowMillis();
-        mContext.retryBudgets().forService(mService).recordFirstAttempt(nowMillis);
+        mContext.retryBudgets().forService(mService).recordFirstAttempt(MonotonicClock.nowMillis());
         proceed();
     }
 
-    private void refuseOverAllowance(long millisUntilRoom, String reason) {
-        finish(mResponse.refuse(Refusal.OVER_ALLOWANCE, millisUntilRoom), reason);
-    }
-
     /** Starts the next step: separate prefill, waiting for a prefill engine, or the run. */
     private void proceed() {
-        if (isDone() || endIfNotSendable()) {
+        if (isDone() || !mayBeSentNow()) {
             return;
         }
         boolean isSeparate = needsSeparatePrefill();
         mPrefillLoad.setPrefilling(isSeparate);
         boolean isTurnOfOthers = mChoice.isByCost() && waitQueue().size() > 0;
-        if (!isSeparate && !mChoice.isOutOfMemory(mKvCache)) {
+        if (!isSeparate && !isOutOfMemory()) {
             startRun();
         } else if (!isSeparate || isTurnOfOthers || !tryStartPrefill()) {
             enqueue();
@@ -160,52 +140,56 @@
         }
     }
 
-    /** Ends the request if no endpoint may be chosen for it, and returns whether it did. */
-    private boolean endIfNotSendable() {
-        long nowMillis = MonotonicClock.nowMillis();
-        PromptVerdict verdict = mContext.promptGuard().admit(sharedParts(), nowMillis);
+    /**
+     * Returns whether an endpoint may be chosen for the request now; if not, the request has ended
+     * or waits for the verdict on its prompt.
+     */
+    private boolean mayBeSentNow() {
+        PromptVerdict verdict = mPromptAdmission.verdict();
+        if (verdict == PromptVerdict.IN_DOUBT) {
+            awaitVerdict();
+            return false;
+        }
         if (verdict == PromptVerdict.QUARANTINED) {
             endWithFailure(Refusal.QUARANTINED, "a part of the prompt crashes engines");
-            return true;
+            return false;
         }
         // A trial has to reach as few engines as possible, and a stream that pauses has no time.
         mSkipSeparatePrefill |= verdict == PromptVerdict.TRIAL || isStreaming();
         if (!mChoice.hasEndpoint()) {
             endWithNoEndpoint();
-            return true;
+            return false;
         }
-        return false;
+        return true;
+    }
+
+    private void awaitVerdict() {
+        mQueuePlace.leave();
+        mPromptAdmission.await(
+                () -> runStep(this::proceed),
+                () -> runStep(() -> endWithFailure(Refusal.IN_DOUBT, "the prompt is in doubt")));
     }
 
     private boolean needsSeparatePrefill() {
-        long tokens = mRequest.prompt().map(PromptMetadata::promptTokens).orElse(0L);
-        return mKvCache.kept().isEmpty()
-                && !mSkipSeparatePrefill
-                && tokens > SEPARATE_PREFILL_THRESHOLD_TOKENS
-                && mChoice.hasPrefillEngines()
-                && !mChoice.isOwnPrefillSooner();
+        return !mSkipSeparatePrefill
+                && mKvCache.kept().isEmpty()
+                && mChoice.isSeparatePrefillSooner();
     }
 
     private void enqueue() {
-        if (mQueuedRequest != null) {
+        if (mQueuePlace.isTaken()) {
             return;
         }
-        // Half the objective is left for the work that follows the wait.
-        long latestMillis =
-                mDeadlineMillis - RESPONSE_OVERHEAD_MILLIS - mRoute.objectiveMillis() / 2;
-        long nowMillis = MonotonicClock.nowMillis();
-        if (nowMillis >= latestMillis) {
+        long latestMillis = mProgress.latestDispatchMillis(mRoute);
+        if (MonotonicClock.nowMillis() >= latestMillis) {
             endWithFailure(Refusal.OVERLOADED, "no engine has room before the deadline");
             return;
         }
-        mQueuedRequest =
-                waitQueue()
-                        .add(
-                                Urgency.of(mRoute, mTeam),
-                                mProgress.arrivedMillis() + mRoute.objectiveMillis(),
-                                latestMillis,
-                                new QueuedAttempt());
-        mPrefillLoad.startWaiting();
+        mQueuePlace.take(
+                Urgency.of(mRoute, mTeam),
+                mProgress.dueMillis(mRoute),
+                latestMillis,
+                new QueuedExecution(this));
     }
 
     private WaitQueue waitQueue() {
@@ -224,16 +208,15 @@
             return true;
         }
         waitQueue().recordDeparture(nowMillis);
-        send(prefillEngine.get(), EndpointCall.Stage.READ_PROMPT);
-        EndpointExchange call = mCall;
+        EndpointExchange call = send(prefillEngine.get(), EndpointCall.Stage.READ_PROMPT);
         long timeoutMillis = PREFILL_TIMEOUT_OBJECTIVES * mRoute.objectiveMillis();
         call.limitTime(timeoutMillis, () -> runStep(() -> onPrefillTimeout(call)));
         return true;
     }
 
     private void onPrefillTimeout(EndpointExchange call) {
-        if (!isDone() && mCall == call) {
-            abandonCall();
+        if (!isDone() && mCall.holds(call)) {
+            mCall.abandon(mProgress);
             mContext.placement().recordUnreachable(call.endpoint(), MonotonicClock.nowMillis());
             retryElsewhere(call.endpoint(), "the prefill timed out");
         }
@@ -260,37 +243,28 @@
                 mChoice.refusalWithoutEndpoint(), "no endpoint is available for the request");
     }
 
-    private void send(Endpoint endpoint, EndpointCall.Stage stage) {
+    private EndpointExchange send(Endpoint endpoint, EndpointCall.Stage stage) {
         mAttemptBudget.recordSent(stage);
         mContext.metrics().countCall(stage);
         long nowMillis = MonotonicClock.nowMillis();
         CallCost cost = mChoice.openCall(endpoint, stage, mKvCache);
         EndpointCall call =
-                new EndpointCall(
-                        endpoint,
-                        stage,
-                        Math.max(1, mDeadlineMillis - nowMillis),
-                        mTeam.map(AuthorizedTeam::name),
-                        Urgency.of(mRoute, mTeam),
-                        stage == EndpointCall.Stage.RUN ? mKvCache.takeForCall() : Optional.empty(),
-                        mProgress.events().lastIdentifier().or(mRequest::lastEventIdentifier));
+                EndpointCall.of(endpoint, stage, mRequest, mProgress, mTeam, mRoute, mKvCache);
         mLog.writeSent(call, mAttemptBudget.calls(), nowMillis - mProgress.arrivedMillis(), cost);
-        mCall =
+        return mCall.set(
                 EndpointExchange.send(
                         mContext,
                         mRequest,
                         call,
                         cost,
                         CONNECT_TIMEOUT_MILLIS,
-                        new EndpointResponseHandler(mContext, this, stage, cost));
+                        new EndpointResponseHandler(mContext, this, stage, cost)));
     }
 
     void retryElsewhere(Endpoint endpoint, String reason) {
-        mCall = null;
         mChoice.exclude(endpoint);
         mLog.writeRetriedElsewhere(endpoint, reason);
-        if (MonotonicClock.nowMillis() + RESPONSE_OVERHEAD_MILLIS >= mDeadlineMillis
-                || mAttemptBudget.isExhausted()) {
+        if (!mProgress.hasTimeForAResponse() || mAttemptBudget.isExhausted()) {
             endWithFailure(Refusal.NOT_RUN, reason);
         } else {
             proceed();
@@ -325,10 +299,14 @@
 
     private void refuse(Refusal refusal, String reason) {
         mPrefillLoad.recordRefusal(refusal);
-        leaveQueue();
+        mQueuePlace.leave();
         long retryAfterMillis =
                 mChoice.retryAfterMillis(
                         refusal, waitQueue().drainMillis(MonotonicClock.nowMillis()));
+        refuse(refusal, retryAfterMillis, reason);
+    }
+
+    private void refuse(Refusal refusal, long retryAfterMillis, String reason) {
         finish(mResponse.refuse(refusal, retryAfterMillis), reason);
     }
 
@@ -336,38 +314,26 @@
         if (isDone()) {
             return;
         }
-        boolean isRouteTimeout = mRoute.timeoutMillis() <= mRequest.callerTimeoutMillis();
-        String reason =
-                (isRouteTimeout ? "the route's time" : "the caller's patience") + " is over";
-        abandonCall();
-        refuse(mProgress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.OVERLOADED, reason);
+        mCall.abandon(mProgress);
+        refuse(
+                mProgress.mayHaveRun() ? Refusal.TIMED_OUT : Refusal.OVERLOADED,
+                RequestProgress.timeoutReason(mRequest, mRoute));
     }
 
     /** Ends the request because its endpoint takes longer than the process may live. */
     void endBeforeStop() {
         runStep(
                 () -> {
-                    abandonCall();
+                    mCall.abandon(mProgress);
                     endWithFailure(Refusal.STOPPING, "the process ends");
                 });
     }
 
-    private void abandonCall() {
-        if (mCall != null) {
-            // Abandoning comes first: only then is it final whether the call has been sent.
-            mCall.abandon();
-            if (mCall.isSent()) {
-                mProgress.markPossiblyDone(mCall.stage());
-            }
-            mCall = null;
-        }
-    }
-
     private void onCallerDisconnected() {
         if (isDone()) {
             return;
         }
-        abandonCall();
+        mCall.abandon(mProgress);
         mContext.metrics().count("requests.abandoned");
         finish(mResponse.abandon(), "the caller disconnected");
     }
@@ -378,29 +344,21 @@
             return;
         }
         mFinished = true;
+        FailureCollector.runAll(
+                () -> mPrefillLoad.setPrefilling(false),
+                mQueuePlace::leave,
+                mPromptAdmission::cancelWait,
+                () -> mAdmission.end(mProgress.mayHaveWorked()),
+                () -> mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS),
+                () -> recordEnd(end, reason),
+                mOnEnd,
+                () -> waitQueue().advance(MonotonicClock.nowMillis()));
+    }
+
+    private void recordEnd(CallerResponse.End end, String reason) {
         long tookMillis = MonotonicClock.nowMillis() - mProgress.arrivedMillis();
-        FailureCollector steps = FailureCollector.create();
-        steps.run(() -> mPrefillLoad.setPrefilling(false));
-        steps.run(this::leaveQueue);
-        steps.run(() -> mAdmission.end(mProgress.mayHaveWorked()));
-        steps.run(() -> mKvCache.release(mContext, CONNECT_TIMEOUT_MILLIS));
-        steps.run(() -> recordDuration(tookMillis));
-        steps.run(() -> mLog.writeEnded(mRoute, end.outcome(), mAttemptBudget, tookMillis, reason));
-        steps.run(mOnEnd);
-        steps.run(() -> waitQueue().advance(MonotonicClock.nowMillis()));
-        steps.rethrow();
-    }
-
-    private void recordDuration(long millis) {
-        mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), millis);
-    }
-
-    private void leaveQueue() {
-        if (mQueuedRequest != null) {
-            waitQueue().remove(mQueuedRequest);
-            mQueuedRequest = null;
-            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
-        }
+        mContext.metrics().recordDuration("requests.millis." + mRoute.kind(), tookMillis);
+        mLog.writeEnded(mRoute, end.outcome(), mAttemptBudget, tookMillis, reason);
     }
 
     Route route() {
@@ -414,9 +372,7 @@
 
     /** Clears the current call, which has ended, and returns its endpoint. */
     Endpoint detachCall() {
-        Endpoint endpoint = mCall.endpoint();
-        mCall = null;
-        return endpoint;
+        return mCall.detach();
     }
 
     RequestProgress progress() {
@@ -460,67 +416,33 @@
         mTeam.ifPresent(team -> mContext.usage().countStartedRequest(team.name()));
     }
 
-    /** Dispatches this request from the wait queue, or abandons it. */
-    private final class QueuedAttempt implements WaitQueue.Attempt {
-        @Override
-        public boolean tryDispatch() {
-            try {
-                return tryStart();
-            } catch (RuntimeException | Error e) {
-                endAfterFailure(e);
-                return true;
-            }
-        }
-
-        private boolean tryStart() {
-            if (isDone() || endIfNotSendable()) {
-                return true;
-            }
-            if (needsSeparatePrefill() ? !tryStartPrefill() : mChoice.isOutOfMemory(mKvCache)) {
-                return false;
-            }
-            mQueuedRequest = null;
-            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
-            if (mCall == null && !isDone()) {
-                mPrefillLoad.setPrefilling(false);
-                if (mChoice.isByCost()) {
-                    waitQueue().recordDeparture(MonotonicClock.nowMillis());
-                }
-                startRun();
-            }
+    /** Starts the request from the wait queue; returns whether it has left the queue. */
+    boolean tryStartQueued() {
+        if (isDone() || !mayBeSentNow()) {
             return true;
         }
-
-        /** A request that needs much memory lets others pass in the first half of its time. */
-        @Override
-        public boolean blocksOthers() {
-            try {
-                return isBlockingOthers();
-            } catch (RuntimeException | Error e) {
-                endAfterFailure(e);
-                return false;
-            }
+        if (needsSeparatePrefill() ? !tryStartPrefill() : isOutOfMemory()) {
+            return false;
         }
-
-        private boolean isBlockingOthers() {
-            long halfTimeMillis = (mProgress.arrivedMillis() + mDeadlineMillis) / 2;
-            return MonotonicClock.nowMillis() > halfTimeMillis || !mChoice.isOutOfMemory(mKvCache);
+        mQueuePlace.end();
+        if (mCall.isEmpty() && !isDone()) {
+            mPrefillLoad.setPrefilling(false);
+            if (mChoice.isByCost()) {
+                waitQueue().recordDeparture(MonotonicClock.nowMillis());
+            }
+            startRun();
         }
+        return true;
+    }
 
-        @Override
-        public void abandon(int ahead, long turnMillis) {
-            runStep(() -> endWithoutTurn(ahead, turnMillis));
-        }
+    /** Ends the request, which has left the wait queue, because its turn would come too late. */
+    void endWithoutTurn(String reason) {
+        mQueuePlace.end();
+        endWithFailure(Refusal.OVERLOADED, reason);
+    }
 
-        private void endWithoutTurn(int ahead, long turnMillis) {
-            mQueuedRequest = null;
-            mPrefillLoad.endWaiting(MonotonicClock.nowMillis());
-            if (!isDone()) {
-                endWithFailure(
-                        Refusal.OVERLOADED,
-                        "a prefill engine would have room in %d ms, after %d other requests"
-                                .formatted(turnMillis, ahead));
-            }
-        }
+    /** Returns whether the request has to wait until an engine has memory for it. */
+    boolean isOutOfMemory() {
+        return mChoice.isOutOfMemory(mKvCache);
     }
 }
--- a/src/main/java/org/vanilladoor/gateway/RequestLog.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestLog.java
@@ -77,6 +77,12 @@
                 reason);
     }
 
+    /** Writes that the request waits until it is known whether its prompt crashes engines. */
+    void writeInDoubt(List<String> parts) {
+        EventLog.write(
+                PART, "request.in_doubt", "id", identifier, "parts", String.join(",", parts));
+    }
+
     /** Writes that a step of the request failed in a way that no other code has handled. */
     void writeFailed(Throwable failure) {
         EventLog.write(PART, "request.failed", "id", identifier, "reason", failure);
--- a/src/main/java/org/vanilladoor/gateway/RequestProgress.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestProgress.java
@@ -9,6 +9,9 @@
  * <p>Invariant: what may have run is never taken back. Confined to the control thread.
  */
 final class RequestProgress {
+    /** Time that a response takes in addition to the work of its endpoint. */
+    private static final long RESPONSE_OVERHEAD_MILLIS = 30;
+
     private final long mArrivedMillis = MonotonicClock.nowMillis();
     private final EventAssembler mEvents;
     private final long mDeadlineMillis;
@@ -43,6 +46,24 @@
         return mDeadlineMillis;
     }
 
+    /** Returns the time after which an engine could not do its work before the deadline. */
+    long latestDispatchMillis(Route route) {
+        // Half the objective is left for the work that follows the wait.
+        return mDeadlineMillis - RESPONSE_OVERHEAD_MILLIS - route.objectiveMillis() / 2;
+    }
+
+    /** Returns whether a response that begins now can reach the caller before the deadline. */
+    boolean hasTimeForAResponse() {
+        return MonotonicClock.nowMillis() + RESPONSE_OVERHEAD_MILLIS < mDeadlineMillis;
+    }
+
+    /** Returns what sets the deadline of a request, as logged when it has passed. */
+    static String timeoutReason(CallerRequest request, Route route) {
+        return route.timeoutMillis() <= request.callerTimeoutMillis()
+                ? "the route's time is over"
+                : "the caller's patience is over";
+    }
+
     /** Returns the buffer for the events of the response stream. */
     EventAssembler events() {
         return mEvents;
--- a/src/main/java/org/vanilladoor/gateway/RetryAfter.java
+++ b/src/main/java/org/vanilladoor/gateway/RetryAfter.java
@@ -15,6 +15,9 @@
     /** For a request whose prompt crashes engines; a repaired engine takes longer. */
     static final long QUARANTINED_MILLIS = 60_000;
 
+    /** For a request whose prompt may be found not to crash engines; a trial takes a second. */
+    static final long IN_DOUBT_MILLIS = 1_000;
+
     private RetryAfter() {}
 
     /**
@@ -29,6 +32,7 @@
             Refusal refusal, long objectiveMillis, long untilRoomMillis, long drainMillis) {
         return switch (refusal) {
             case QUARANTINED -> QUARANTINED_MILLIS;
+            case IN_DOUBT -> IN_DOUBT_MILLIS;
             case NO_ENDPOINT -> NO_ENDPOINT_MILLIS;
             case LIMITED -> Math.max(objectiveMillis, untilRoomMillis);
             default -> Math.max(objectiveMillis, Math.min(drainMillis, MAXIMUM_MILLIS));
--- a/src/main/java/org/vanilladoor/platform/ServeProcess.java
+++ b/src/main/java/org/vanilladoor/platform/ServeProcess.java
@@ -151,11 +151,7 @@
                         new OperatorWireFormat(),
                         mState,
                         placement,
-                        PromptGuard.create(
-                                quarantine,
-                                news.crashReports(),
-                                leaderTasks::isHolder,
-                                incarnation),
+                        PromptGuard.create(quarantine, news.crashReports(), incarnation),
                         new Gateway.Accounting(
                                 retryBudgets(settings),
                                 mAllowances,
--- a/src/main/java/org/vanilladoor/quarantine/CrashReportExchange.java
+++ b/src/main/java/org/vanilladoor/quarantine/CrashReportExchange.java
@@ -1,9 +1,15 @@
 package org.vanilladoor.quarantine;
 
 import java.io.UncheckedIOException;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.vanilladoor.common.EventLog;
 import org.vanilladoor.common.Json;
@@ -23,8 +29,12 @@
  * outage of the store, when an engine disappears without notice, and now and then while a part is
  * quarantined, since a mark may be lost.
  *
- * <p>Invariants: at most one write and one listing are in progress; an observation is published
- * again until the store has acknowledged it. Confined to the control thread.
+ * <p>The trials of parts are in one object that all VMs write under its version, so that each trial
+ * has one VM. It is listed with the others.
+ *
+ * <p>Invariants: at most one write and one listing are in progress, besides those of a claim; an
+ * observation is published again until the store has acknowledged it. Confined to the control
+ * thread.
  */
 public final class CrashReportExchange implements CrashReportPublisher {
     /** Shortest time between two listings. */
@@ -35,7 +45,11 @@
 
     private static final String OBJECT_PREFIX = "crashes/";
 
+    /** No VM has a name like this. */
+    private static final String TRIALS_OBJECT = OBJECT_PREFIX + "_trials";
+
     private final PromptQuarantine mQuarantine;
+    private final ObjectStore mStore;
     private final StoredObjectLister mLister;
     private final VersionedObjectWriter mWriter;
     private final Function<String, CompletableFuture<Void>> mMarker;
@@ -55,6 +69,7 @@
             Function<String, CompletableFuture<Void>> marker,
             String vmName) {
         mQuarantine = quarantine;
+        mStore = store;
         mLister = lister;
         mObject = OBJECT_PREFIX + vmName;
         mWriter = VersionedObjectWriter.create(store, mObject);
@@ -88,11 +103,54 @@
     }
 
     @Override
-    public long publishedRevision() {
-        return mPublishedRevision;
+    public CompletableFuture<Boolean> claimTrial(
+            Collection<String> parts, String trial, BooleanSupplier isStillDue) {
+        return mLister.listKind(mObject, false)
+                .thenCompose(
+                        found -> {
+                            mEverRead = true;
+                            mergeAll(found);
+                            return isStillDue.getAsBoolean()
+                                    ? writeTrial(found, parts, trial)
+                                    : CompletableFuture.completedFuture(false);
+                        })
+                .exceptionally(
+                        failure -> {
+                            logFailure("trial.unclaimed", failure);
+                            return false;
+                        });
+    }
+
+    private CompletableFuture<Boolean> writeTrial(
+            List<StoredObject> found, Collection<String> parts, String trial) {
+        Optional<StoredObject> object =
+                found.stream().filter(each -> each.name().equals(TRIALS_OBJECT)).findFirst();
+        long version = object.map(StoredObject::version).orElse(ObjectStore.ABSENT);
+        return mStore.write(TRIALS_OBJECT, version, Json.write(trialsWith(parts, trial)))
+                .thenApply(written -> true);
+    }
+
+    /** Returns the trials of all parts that are suspected now, with a new one. */
+    private CrashReport trialsWith(Collection<String> parts, String trial) {
+        Map<String, CrashReport.Part> trials = new HashMap<>();
+        mQuarantine
+                .report()
+                .parts()
+                .forEach(
+                        (part, evidence) -> {
+                            Set<String> all = new HashSet<>(evidence.trials());
+                            if (parts.contains(part)) {
+                                all.add(trial);
+                            }
+                            if (!all.isEmpty()) {
+                                trials.put(part, new CrashReport.Part(Set.of(), Set.of(), all, 0));
+                            }
+                        });
+        return new CrashReport(trials);
     }
 
     /** Requests a listing, since another VM may have published evidence. */
+    @Override
     public void requestRead() {
         mReadRequested = true;
         readIfDue(MonotonicClock.nowMillis());
--- a/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
@@ -8,10 +8,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Decides which prompt parts no longer reach engines because they crash them; their requests are
@@ -25,11 +25,13 @@
  * the time, while the one that crashes engines never is. The evidence is the union of what all VMs
  * have observed, whatever the order in which it arrives.
  *
- * <p>A quarantined part gets another chance: one VM may let a request through, if it has announced
- * that to all VMs before. It comes soon for a part that may be held back by mistake, since it was
- * answered before or shares crashes with another quarantined part, and at most {@link
- * #MAXIMUM_TRIALS_IN_DOUBT} times altogether; after a long time for others, {@link #MAXIMUM_TRIALS}
- * times.
+ * <p>A quarantined part gets another chance: one VM may let a request through, if all VMs can know
+ * of that before. Several parts may be in the same crashes, and no answer may be known that tells
+ * them apart; then a request that lacks one of them is a trial that does. It comes {@link
+ * #TRIAL_INTERVALS_IN_DOUBT_MILLIS soon}, and not again for a part that has crashed an engine
+ * without the others. A part that was answered before is tested {@link
+ * #TRIAL_INTERVAL_AFTER_ANSWERS_MILLIS later}, any other one after a {@link #TRIAL_INTERVAL_MILLIS
+ * long time}, {@link #MAXIMUM_TRIALS} times.
  *
  * <p>Invariants: the verdict depends only on the parts, never on the caller, the key or the rest of
  * the prompt; memory is bounded however many parts callers make up. Does no I/O; time is passed in
@@ -45,11 +47,17 @@
     /** Time without new evidence after which a quarantined part may be tested again. */
     public static final long TRIAL_INTERVAL_MILLIS = 1_800_000;
 
-    /** The same for a part that may be held back by mistake. */
-    static final int MAXIMUM_TRIALS_IN_DOUBT = 3;
+    /**
+     * Time without new evidence, which takes about a second to arrive, after which a part that may
+     * be held back for another one is tested, by the number of trials before.
+     */
+    static final List<Long> TRIAL_INTERVALS_IN_DOUBT_MILLIS = List.of(1_500L, 4_000L, 15_000L);
+
+    /** Number of trials of a part that was answered before. */
+    private static final int MAXIMUM_TRIALS_AFTER_ANSWERS = 3;
 
     /** Time without new evidence after which such a part may be tested. */
-    static final long TRIAL_INTERVAL_IN_DOUBT_MILLIS = 15_000;
+    private static final long TRIAL_INTERVAL_AFTER_ANSWERS_MILLIS = 15_000;
 
     /** Time for which an answer vouches for the parts of its prompt. */
     static final long RECENT_ANSWER_MILLIS = 10_000;
@@ -156,6 +164,8 @@
                     .filter(other -> other.answers() > evidence.answers())
                     .forEach(other -> noteChange(other.clear(crashes, nowMillis)));
         }
+        // Restarted VMs learn from the report that the part was answered.
+        noteChange(evidence.noteAnswers(mAnswerCounts.count(part)));
         explainCrashes();
     }
 
@@ -205,33 +215,66 @@
     }
 
     /**
-     * Returns the quarantined part of a prompt that may be tested again now, if there is one and no
-     * other part of the prompt is quarantined.
+     * Returns whether the quarantined parts of a prompt may be held back for the crashes of another
+     * part, and a trial can still show that.
      */
-    public Optional<String> partDueForTrial(Collection<String> parts, long nowMillis) {
-        List<String> quarantined = parts.stream().filter(this::isQuarantined).distinct().toList();
-        return quarantined.size() == 1
-                ? Optional.of(quarantined.get(0)).filter(part -> isDueForTrial(part, nowMillis))
-                : Optional.empty();
+    public boolean isInDoubt(Collection<String> parts) {
+        Set<String> quarantined = quarantinedAmong(parts);
+        Set<String> explained = crashesOfOthers(quarantined);
+        return !quarantined.isEmpty()
+                && quarantined.stream().allMatch(part -> isInDoubt(part, explained));
+    }
+
+    /**
+     * Returns the quarantined parts of a prompt if a request with it may test them now, otherwise
+     * nothing.
+     */
+    public Set<String> partsDueForTrial(Collection<String> parts, long nowMillis) {
+        Set<String> quarantined = quarantinedAmong(parts);
+        boolean isDue =
+                isInDoubt(parts)
+                        ? quarantined.stream().allMatch(part -> isDueInDoubt(part, nowMillis))
+                        : quarantined.size() == 1
+                                && isDueAlone(quarantined.iterator().next(), nowMillis);
+        return isDue ? quarantined : Set.of();
+    }
+
+    /** Returns those of the parts that are quarantined. */
+    Set<String> quarantinedAmong(Collection<String> parts) {
+        return parts.stream().filter(this::isQuarantined).collect(Collectors.toSet());
+    }
+
+    /** Returns the crashes that quarantined parts explain, except those of the given parts. */
+    private Set<String> crashesOfOthers(Set<String> parts) {
+        Set<String> crashes = new HashSet<>();
+        mSuspects.keySet().stream()
+                .filter(part -> !parts.contains(part) && isQuarantined(part))
+                .forEach(part -> mSuspects.get(part).collectCrashes(crashes));
+        return crashes;
     }
 
-    private boolean isDueForTrial(String part, long nowMillis) {
+    /** A crash that others don't explain is a coincidence, unless it came of a trial. */
+    private boolean isInDoubt(String part, Set<String> explained) {
         PartEvidence evidence = mSuspects.get(part);
-        long quietMillis = nowMillis - evidence.changedMillis();
-        return isInDoubt(part)
-                ? evidence.trials() < MAXIMUM_TRIALS_IN_DOUBT
-                        && quietMillis >= TRIAL_INTERVAL_IN_DOUBT_MILLIS
-                : evidence.trials() < MAXIMUM_TRIALS && quietMillis >= TRIAL_INTERVAL_MILLIS;
+        int unexplained = evidence.crashesBut(explained);
+        return unexplained == 0
+                ? evidence.trials() < TRIAL_INTERVALS_IN_DOUBT_MILLIS.size()
+                : unexplained < CRASHES_TO_QUARANTINE && evidence.trials() == 0;
     }
 
-    /** Returns whether a quarantined part may be held back for the crashes of another one. */
-    private boolean isInDoubt(String part) {
+    private boolean isDueInDoubt(String part, long nowMillis) {
         PartEvidence evidence = mSuspects.get(part);
-        Set<String> others = new HashSet<>();
-        mSuspects.keySet().stream()
-                .filter(other -> !other.equals(part) && isQuarantined(other))
-                .forEach(other -> mSuspects.get(other).collectCrashes(others));
-        return evidence.answers() > 0 || evidence.crashesBut(others) < CRASHES_TO_QUARANTINE;
+        return nowMillis - evidence.changedMillis()
+                >= TRIAL_INTERVALS_IN_DOUBT_MILLIS.get(evidence.trials());
+    }
+
+    private boolean isDueAlone(String part, long nowMillis) {
+        PartEvidence evidence = mSuspects.get(part);
+        long quietMillis = nowMillis - evidence.changedMillis();
+        return evidence.answers() > 0
+                ? evidence.trials() < MAXIMUM_TRIALS_AFTER_ANSWERS
+                        && quietMillis >= TRIAL_INTERVAL_AFTER_ANSWERS_MILLIS
+                : evidence.trials() < MAXIMUM_TRIALS && quietMillis >= TRIAL_INTERVAL_MILLIS;
     }
 
     /** Announces a trial of a part; it must be published before the request is let through. */
--- a/src/main/java/org/vanilladoor/quarantine/PromptVerdict.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptVerdict.java
@@ -15,6 +15,11 @@
     SUSPECT,
     /** A part is quarantined, and this request tests whether it still crashes engines. */
     TRIAL,
+    /**
+     * A part is quarantined, but may be held back for the crashes of another part, which is not in
+     * the prompt; whether the request may be sent will be known soon.
+     */
+    IN_DOUBT,
     /** A part has crashed several engines; the request must not reach any engine. */
     QUARANTINED
 }
--- a/src/test/java/org/vanilladoor/platform/GatewayFixture.java
+++ b/src/test/java/org/vanilladoor/platform/GatewayFixture.java
@@ -6,11 +6,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
@@ -79,6 +81,12 @@
     /** Receives the load; set before the gateway starts. */
     ServiceLoadSink mLoadSink = mLoad;
 
+    /** Evidence about parts of prompts. */
+    final PromptQuarantine mQuarantine = PromptQuarantine.create();
+
+    /** Exchanges that evidence; set before the gateway starts. */
+    CrashReportPublisher mReports = new UnpublishedReports();
+
     /** Maximum size of a request's body; set before the gateway starts. */
     int mMaximumBodyBytes = 1_000;
 
@@ -102,11 +110,7 @@
                                 "a",
                                 RequestLimits.create("vm", mState::vmCount),
                                 new SplittableRandom(3)),
-                        PromptGuard.create(
-                                PromptQuarantine.create(),
-                                new UnpublishedReports(),
-                                () -> false,
-                                "vm"),
+                        PromptGuard.create(mQuarantine, mReports, "vm"),
                         new Gateway.Accounting(
                                 retryBudgets(),
                                 mAllowances,
@@ -316,15 +320,21 @@
     }
 
     /** Keeps the evidence of this VM to itself. */
-    private static final class UnpublishedReports implements CrashReportPublisher {
+    static class UnpublishedReports implements CrashReportPublisher {
         @Override
         public void publish(Optional<String> crashedEngine) {
             // There is no other VM.
         }
 
         @Override
-        public long publishedRevision() {
-            return 0;
+        public void requestRead() {
+            // There is no other VM.
+        }
+
+        @Override
+        public CompletableFuture<Boolean> claimTrial(
+                Collection<String> parts, String trial, BooleanSupplier isStillDue) {
+            return CompletableFuture.completedFuture(false);
         }
     }
 
--- a/src/test/java/org/vanilladoor/quarantine/CrashReportExchangeTests.java
+++ b/src/test/java/org/vanilladoor/quarantine/CrashReportExchangeTests.java
@@ -19,9 +19,17 @@
 /** VMs that tell each other through the store which parts crash engines. */
 class CrashReportExchangeTests {
     private static final String PART = "dead";
+    private static final String CUSTOMERS_PART = "c0";
+
+    /** Time after which a part in doubt is tested. */
+    private static final long DOUBT_MILLIS =
+            PromptQuarantine.TRIAL_INTERVALS_IN_DOUBT_MILLIS.get(0);
+
+    private static final long WAIT_MILLIS = 1_000;
     private final ObjectTable mTable = ObjectTable.create();
     private final FakeObjectStore mStore = FakeObjectStore.create(mTable);
     private final List<String> mMarked = new ArrayList<>();
+    private long mNowMillis = MonotonicClock.nowMillis();
     private boolean mListable = true;
     private int mListings;
 
@@ -104,12 +112,92 @@
         crash(vm, "e2");
         crash(vm, "e3");
         mStore.resolveAll();
-        long later = MonotonicClock.nowMillis() + PromptQuarantine.TRIAL_INTERVAL_MILLIS;
-        assertThat(vm.admit(later)).isEqualTo(PromptVerdict.QUARANTINED);
-        assertThat(vm.admit(later)).isEqualTo(PromptVerdict.QUARANTINED);
+        assertThat(vm.verdict(List.of(PART))).isEqualTo(PromptVerdict.QUARANTINED);
+        passMillis(PromptQuarantine.TRIAL_INTERVAL_MILLIS);
+        List<PromptVerdict> verdicts = new ArrayList<>();
+        vm.await(List.of(PART), verdicts);
+        vm.await(List.of(PART), verdicts);
+        assertThat(verdicts).isEmpty();
+        mStore.resolveAll();
+        assertThat(verdicts).containsExactly(PromptVerdict.TRIAL, PromptVerdict.QUARANTINED);
+        assertThat(vm.verdict(List.of(PART))).isEqualTo(PromptVerdict.QUARANTINED);
+    }
+
+    @Test
+    void oneVmOfSeveralGetsATrial() {
+        Vm first = new Vm("a");
+        crashWithCustomersPart(first);
+        Vm second = new Vm("b");
+        passMillis(DOUBT_MILLIS);
+        List<PromptVerdict> verdicts = new ArrayList<>();
+        first.await(List.of(CUSTOMERS_PART), verdicts);
+        second.await(List.of(CUSTOMERS_PART), verdicts);
+        mStore.resolveAll();
+        assertThat(verdicts).containsExactly(PromptVerdict.TRIAL);
+        first.mGuard.recordAnswer(List.of(CUSTOMERS_PART), mNowMillis);
+        mStore.resolveAll();
+        mNowMillis += 500;
+        second.mGuard.tick(mNowMillis);
+        second.mExchange.tick(MonotonicClock.nowMillis() + 500);
+        second.mGuard.tick(mNowMillis);
+        assertThat(verdicts).containsExactly(PromptVerdict.TRIAL, PromptVerdict.SOUND).inOrder();
+    }
+
+    /** The verdict on the part in doubt would never come. */
+    @Test
+    void aRequestWithAllSuspectedPartsDoesNotUseUpTheTrial() {
+        Vm vm = new Vm("a");
+        crashWithCustomersPart(vm);
+        passMillis(DOUBT_MILLIS);
+        assertThat(vm.verdict(List.of(CUSTOMERS_PART, PART))).isEqualTo(PromptVerdict.QUARANTINED);
+        List<PromptVerdict> verdicts = new ArrayList<>();
+        vm.await(List.of(CUSTOMERS_PART), verdicts);
+        assertThat(vm.verdict(List.of(CUSTOMERS_PART, PART))).isEqualTo(PromptVerdict.QUARANTINED);
+        mStore.resolveAll();
+        assertThat(verdicts).containsExactly(PromptVerdict.TRIAL);
+    }
+
+    @Test
+    void noTrialIsAdmittedWhileTheStoreDoesNotAnswer() {
+        Vm vm = new Vm("a");
+        crashWithCustomersPart(vm);
+        passMillis(DOUBT_MILLIS);
+        List<PromptVerdict> verdicts = new ArrayList<>();
+        vm.await(List.of(CUSTOMERS_PART), verdicts);
+        mStore.resolveOldest(FakeObjectStore.CallOutcome.LOSE_ANSWER);
+        assertThat(verdicts).isEmpty();
+        mNowMillis += WAIT_MILLIS;
+        vm.mGuard.tick(mNowMillis);
+        assertThat(verdicts).containsExactly(PromptVerdict.IN_DOUBT);
+    }
+
+    @Test
+    void aTrialWhoseCallerHasLeftGoesToAnotherRequest() {
+        Vm vm = new Vm("a");
+        crashWithCustomersPart(vm);
+        passMillis(DOUBT_MILLIS);
+        List<PromptVerdict> left = new ArrayList<>();
+        List<PromptVerdict> verdicts = new ArrayList<>();
+        PromptGuard.Wait wait = vm.await(List.of(CUSTOMERS_PART), left);
+        vm.await(List.of(CUSTOMERS_PART), verdicts);
+        wait.cancel();
+        mStore.resolveAll();
+        assertThat(left).isEmpty();
+        assertThat(verdicts).containsExactly(PromptVerdict.TRIAL);
+    }
+
+    private void passMillis(long millis) {
+        mNowMillis = MonotonicClock.nowMillis() + millis;
+    }
+
+    private void crashWithCustomersPart(Vm vm) {
+        for (String engine : List.of("e1", "e2", "e3")) {
+            vm.mGuard.recordCrash(
+                    Endpoints.engine(engine, "a", EngineRole.DECODE),
+                    List.of(CUSTOMERS_PART, PART),
+                    MonotonicClock.nowMillis());
+        }
         mStore.resolveAll();
-        assertThat(vm.admit(later)).isEqualTo(PromptVerdict.TRIAL);
-        assertThat(vm.admit(later)).isEqualTo(PromptVerdict.QUARANTINED);
     }
 
     private static void crash(Vm vm, String engine) {
@@ -147,12 +235,16 @@
                                 return CompletableFuture.completedFuture(null);
                             },
                             name);
-            mGuard = PromptGuard.create(mQuarantine, mExchange, () -> true, name);
+            mGuard = PromptGuard.create(mQuarantine, mExchange, name);
             mExchange.requestRead();
         }
 
-        PromptVerdict admit(long nowMillis) {
-            return mGuard.admit(List.of(PART), nowMillis);
+        PromptVerdict verdict(List<String> parts) {
+            return mGuard.verdict(parts, mNowMillis);
+        }
+
+        PromptGuard.Wait await(List<String> parts, List<PromptVerdict> verdicts) {
+            return mGuard.awaitVerdict(parts, mNowMillis, WAIT_MILLIS, verdicts::add);
         }
     }
 }
--- a/src/test/java/org/vanilladoor/quarantine/PromptBlameTests.java
+++ b/src/test/java/org/vanilladoor/quarantine/PromptBlameTests.java
@@ -83,12 +83,12 @@
     @Test
     void aPartInDoubtIsTestedAtMostThreeTimesWithinAMinuteAndFreeAfterAnAnswer() {
         crash(mQuarantine, List.of(FIRST, CRASHING), NOW_MILLIS);
-        assertThat(mQuarantine.partDueForTrial(List.of(FIRST), NOW_MILLIS + 1_000)).isEmpty();
-        assertThat(mQuarantine.partDueForTrial(List.of(FIRST, CRASHING), NOW_MILLIS + 60_000))
+        assertThat(mQuarantine.partsDueForTrial(List.of(FIRST), NOW_MILLIS + 1_000)).isEmpty();
+        assertThat(mQuarantine.partsDueForTrial(List.of(FIRST, CRASHING), NOW_MILLIS + 60_000))
                 .isEmpty();
         int trials = 0;
         for (long millis = NOW_MILLIS; millis <= NOW_MILLIS + 600_000; millis += 1_000) {
-            if (mQuarantine.partDueForTrial(List.of(FIRST), millis).isPresent()) {
+            if (!mQuarantine.partsDueForTrial(List.of(FIRST), millis).isEmpty()) {
                 trials++;
                 assertThat(millis).isAtMost(NOW_MILLIS + 60_000);
                 mQuarantine.announceTrial(FIRST, "vm/" + trials, millis);
@@ -108,6 +108,53 @@
         assertThat(mQuarantine.verdict(List.of(FIRST, CRASHING))).isEqualTo(PromptVerdict.SOUND);
     }
 
+    /** A trial of one part at a time would blame the others for what the first one has crashed. */
+    @Test
+    void allPartsThatACustomerSharesAreTestedTogether() {
+        List<String> shared = List.of(FIRST, "c1", "c2");
+        crash(mQuarantine, List.of(FIRST, "c1", "c2", CRASHING), NOW_MILLIS);
+        assertThat(mQuarantine.isInDoubt(shared)).isTrue();
+        assertThat(mQuarantine.partsDueForTrial(shared, NOW_MILLIS + 2_000))
+                .containsExactlyElementsIn(shared);
+        mQuarantine.recordAnswer(shared, NOW_MILLIS + 2_500);
+        assertThat(mQuarantine.verdict(shared)).isEqualTo(PromptVerdict.SOUND);
+        assertThat(mQuarantine.verdict(List.of(CRASHING))).isEqualTo(PromptVerdict.QUARANTINED);
+        assertThat(mQuarantine.isInDoubt(List.of(CRASHING))).isFalse();
+    }
+
+    @Test
+    void aPartThatCrashesItsTrialIsNoLongerInDoubt() {
+        crash(mQuarantine, List.of(FIRST, CRASHING), NOW_MILLIS);
+        mQuarantine.announceTrial(CRASHING, "vm/1", NOW_MILLIS + 2_000);
+        mQuarantine.recordCrash("e3", List.of(CRASHING), NOW_MILLIS + 2_100);
+        assertThat(mQuarantine.isInDoubt(List.of(CRASHING))).isFalse();
+        assertThat(mQuarantine.partsDueForTrial(List.of(CRASHING), NOW_MILLIS + 60_000)).isEmpty();
+        assertThat(mQuarantine.isInDoubt(List.of(FIRST))).isTrue();
+    }
+
+    /** An engine may fail for another reason while a sound request is about to be answered. */
+    @Test
+    void aPartStaysInDoubtAfterACrashThatNoOtherPartExplains() {
+        crash(mQuarantine, List.of(FIRST, CRASHING), NOW_MILLIS);
+        mQuarantine.recordCrash("e3", List.of(FIRST), NOW_MILLIS + 100);
+        assertThat(mQuarantine.partsDueForTrial(List.of(FIRST), NOW_MILLIS + 2_000))
+                .containsExactly(FIRST);
+    }
+
+    @Test
+    void aRestartedVmKnowsThatAPartWasAnsweredInItsTrial() {
+        crash(mQuarantine, List.of(FIRST, CRASHING), NOW_MILLIS);
+        mQuarantine.recordAnswer(List.of(FIRST), NOW_MILLIS + 2_000);
+        PromptQuarantine restarted = PromptQuarantine.create();
+        restarted.merge(mQuarantine.report(), NOW_MILLIS + QUIET_MILLIS);
+        for (int engine = 10; engine < 13; engine++) {
+            restarted.recordCrash(
+                    "e" + engine, List.of(FIRST, "dead-too"), NOW_MILLIS + 2 * QUIET_MILLIS);
+        }
+        assertThat(restarted.verdict(List.of(FIRST))).isEqualTo(PromptVerdict.SOUND);
+        assertThat(restarted.verdict(List.of("dead-too"))).isEqualTo(PromptVerdict.QUARANTINED);
+    }
+
     private static void crash(PromptQuarantine quarantine, List<String> parts, long nowMillis) {
         for (int engine = 0; engine < 3; engine++) {
             quarantine.recordCrash("e" + engine, parts, nowMillis);
--- a/src/test/java/org/vanilladoor/quarantine/PromptQuarantineTests.java
+++ b/src/test/java/org/vanilladoor/quarantine/PromptQuarantineTests.java
@@ -124,16 +124,16 @@
     @Test
     void aTrialIsDueOnlyAfterALongTimeAndOnlyTwice() {
         crash(3, List.of(CRASHING), NOW_MILLIS);
-        assertThat(mQuarantine.partDueForTrial(List.of(CRASHING), NOW_MILLIS + 60_000)).isEmpty();
+        assertThat(mQuarantine.partsDueForTrial(List.of(CRASHING), NOW_MILLIS + 60_000)).isEmpty();
         long now = NOW_MILLIS;
         for (int trial = 0; trial < PromptQuarantine.MAXIMUM_TRIALS; trial++) {
             now += PromptQuarantine.TRIAL_INTERVAL_MILLIS;
-            assertThat(mQuarantine.partDueForTrial(List.of(COMMON, CRASHING), now))
-                    .hasValue(CRASHING);
+            assertThat(mQuarantine.partsDueForTrial(List.of(COMMON, CRASHING), now))
+                    .containsExactly(CRASHING);
             mQuarantine.announceTrial(CRASHING, "vm/" + trial, now);
         }
         now += PromptQuarantine.TRIAL_INTERVAL_MILLIS;
-        assertThat(mQuarantine.partDueForTrial(List.of(CRASHING), now)).isEmpty();
+        assertThat(mQuarantine.partsDueForTrial(List.of(CRASHING), now)).isEmpty();
     }
 
     private void crash(int engines, List<String> parts, long nowMillis) {
