Do not keep names of other parties' JSON in memory

Jackson interns field names and keeps a table of up to 6,000 of them for the process, each of up to 50,000 characters. Names of callers' bodies, engines' reports and other writers' objects could so take hundreds of megabytes over time.

Names are no longer interned, and one of more than 1,024 characters is not valid.

--- a/src/main/java/org/vanilladoor/common/Json.java
+++ b/src/main/java/org/vanilladoor/common/Json.java
@@ -1,5 +1,6 @@
 package org.vanilladoor.common;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.type.TypeReference;
@@ -20,18 +21,27 @@
  */
 public final class Json {
     private static final int MAXIMUM_NESTING_DEPTH = 64;
+
+    /** Jackson remembers some thousands of names for good, whoever has sent them. */
+    private static final int MAXIMUM_NAME_LENGTH = 1_024;
+
     private static final ObjectMapper MAPPER = createMapper();
 
     private Json() {}
 
     private static ObjectMapper createMapper() {
-        ObjectMapper mapper = new ObjectMapper();
+        ObjectMapper mapper =
+                new ObjectMapper(
+                        JsonFactory.builder()
+                                .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+                                .build());
         mapper.configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
         mapper.configure(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS, true);
         mapper.getFactory()
                 .setStreamReadConstraints(
                         StreamReadConstraints.builder()
                                 .maxNestingDepth(MAXIMUM_NESTING_DEPTH)
+                                .maxNameLength(MAXIMUM_NAME_LENGTH)
                                 .build());
         return mapper;
     }
