Keep the parts of a prompt as one text

Each part was a string and a record of its own, 75 bytes for 4 bytes of the head, held until its request had ended and charged to nobody.

Change: PromptParts keeps all identifiers in one text, which takes about as much as the head, and makes a string when one is asked for; without suspected parts none is made. An identifier of more than 64 characters is known by its digest, and so is a long affinity key, since both are remembered after the request. Log lines have the first 16 parts.

--- a/src/main/java/org/vanilladoor/common/EventLog.java
+++ b/src/main/java/org/vanilladoor/common/EventLog.java
@@ -1,6 +1,8 @@
 package org.vanilladoor.common;
 
+import java.util.Collection;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -19,6 +21,10 @@
 
     private static final Logger LOG = LogManager.getLogger("events");
     private static final long SECOND_MILLIS = 1_000;
+
+    /** Number of values that a line contains of a collection. */
+    private static final int MAXIMUM_VALUES = 16;
+
     private static final int INITIAL_LINE_CAPACITY = 160;
     private static final char DELETE_CHARACTER = 127;
     private static final EventLog INSTANCE = new EventLog();
@@ -39,6 +45,13 @@
         INSTANCE.writeRateLimited(part, event, pairs);
     }
 
+    /** Returns the first values, and how many there are besides. */
+    public static String join(Collection<String> values) {
+        String first = values.stream().limit(MAXIMUM_VALUES).collect(Collectors.joining(","));
+        int further = values.size() - MAXIMUM_VALUES;
+        return further > 0 ? first + ",+" + further : first;
+    }
+
     private void writeRateLimited(String part, String event, Object... pairs) {
         long second = System.currentTimeMillis() / SECOND_MILLIS;
         long previousSecond = mCurrentSecond.getAndSet(second);
--- a/src/main/java/org/vanilladoor/gateway/PromptMetadata.java
+++ b/src/main/java/org/vanilladoor/gateway/PromptMetadata.java
@@ -1,9 +1,9 @@
 package org.vanilladoor.gateway;
 
 import java.util.List;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.OptionalDouble;
+import org.vanilladoor.common.Digests;
 
 /**
  * The model, the token counts and the shared parts of a prompt; the text is not included.
@@ -14,22 +14,30 @@
  * @param promptTokens length of the prompt in tokens
  * @param maximumOutputTokens maximum number of tokens to generate
  * @param lengthHint the caller's estimate of the number of tokens; may be any number
- * @param parts the prompt's parts in order; only the last one is not shared with other requests
+ * @param parts the prompt's parts
  */
 public record PromptMetadata(
         String model,
         long promptTokens,
         long maximumOutputTokens,
         OptionalDouble lengthHint,
-        List<Part> parts) {
+        PromptParts parts) {
+    /** A key is kept longer than its request; a longer one is replaced by its digest. */
+    private static final int MAXIMUM_KEY_LENGTH = 256;
+
     public PromptMetadata {
         Objects.requireNonNull(model, "model");
-        parts = List.copyOf(parts);
+        Objects.requireNonNull(parts, "parts");
     }
 
     /** Returns a key that is equal for prompts with the same shared prefix; empty without one. */
     public String affinityKey() {
-        return parts.size() < 2 ? "" : model + '/' + parts.get(parts.size() - 2).identifier();
+        String identifier = parts.lastSharedIdentifier();
+        if (identifier.isEmpty()) {
+            return "";
+        }
+        String key = model + '/' + identifier;
+        return key.length() <= MAXIMUM_KEY_LENGTH ? key : Digests.sha256(key);
     }
 
     /**
@@ -37,10 +45,7 @@
      * They are hexadecimal numbers, in lower case.
      */
     public List<String> sharedPartIdentifiers() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .map(part -> part.identifier().toLowerCase(Locale.ROOT))
-                .toList();
+        return parts.sharedIdentifiers();
     }
 
     /** Returns the tokens of the prompt and of the longest output together; never negative. */
@@ -51,14 +56,6 @@
 
     /** Returns the length in tokens of the prefix that other requests share. */
     public long sharedPrefixTokens() {
-        return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToLong(Part::tokens).sum();
+        return parts.sharedTokens();
     }
-
-    /**
-     * A part of a prompt.
-     *
-     * @param identifier identifies the prompt up to the end of this part
-     * @param tokens length of the part
-     */
-    public record Part(String identifier, long tokens) {}
 }
--- a/src/main/java/org/vanilladoor/gateway/RequestLog.java
+++ b/src/main/java/org/vanilladoor/gateway/RequestLog.java
@@ -72,15 +72,14 @@
                 "begun",
                 hasBegun,
                 "parts",
-                String.join(",", parts),
+                EventLog.join(parts),
                 "reason",
                 reason);
     }
 
     /** Writes that the request waits until it is known whether its prompt crashes engines. */
     void writeInDoubt(List<String> parts) {
-        EventLog.write(
-                PART, "request.in_doubt", "id", identifier, "parts", String.join(",", parts));
+        EventLog.write(PART, "request.in_doubt", "id", identifier, "parts", EventLog.join(parts));
     }
 
     /** Writes that a step of the request failed in a way that no other code has handled. */
--- a/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
+++ b/src/main/java/org/vanilladoor/platform/OperatorWireFormat.java
@@ -1,7 +1,6 @@
 package org.vanilladoor.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
@@ -28,6 +27,7 @@
 import org.vanilladoor.gateway.KvCacheReference;
 import org.vanilladoor.gateway.MalformedRequestException;
 import org.vanilladoor.gateway.PromptMetadata;
+import org.vanilladoor.gateway.PromptParts;
 import org.vanilladoor.gateway.Refusal;
 import org.vanilladoor.gateway.WireFormat;
 
@@ -277,23 +277,27 @@
             throw new MalformedRequestException(
                     Headers.TOKEN_COUNTS + " does not consist of two numbers: " + tokens);
         }
-        List<PromptMetadata.Part> parts = new ArrayList<>();
-        for (String part : singleHeader(request, Headers.PROMPT_PARTS).orElse("").split(",")) {
-            int colon = part.indexOf(':');
-            if (colon > 0) {
-                parts.add(
-                        new PromptMetadata.Part(
-                                part.substring(0, colon).strip(),
-                                parseNumber(part.substring(colon + 1))));
-            }
-        }
         return Optional.of(
                 new PromptMetadata(
                         singleHeader(request, Headers.MODEL).orElse(""),
                         parseNumber(fields[0]),
                         parseNumber(fields[1]),
                         decodeLengthHint(request),
-                        parts));
+                        decodeParts(singleHeader(request, Headers.PROMPT_PARTS).orElse(""))));
+    }
+
+    private static PromptParts decodeParts(String text) throws MalformedRequestException {
+        PromptParts.Builder parts = PromptParts.builder();
+        for (int start = 0; start < text.length(); ) {
+            int comma = text.indexOf(',', start);
+            String part = text.substring(start, comma < 0 ? text.length() : comma);
+            int colon = part.indexOf(':');
+            if (colon > 0) {
+                parts.add(part.substring(0, colon).strip(), parseNumber(part.substring(colon + 1)));
+            }
+            start += part.length() + 1;
+        }
+        return parts.build();
     }
 
     /** A hint only improves an estimate, so that one that can't be read is ignored. */
--- a/src/main/java/org/vanilladoor/quarantine/PromptGuard.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptGuard.java
@@ -78,6 +78,7 @@
     /**
      * Waits for the verdict on a request that is in doubt.
      *
+     * @param parts identifiers of the parts of its prompt; must not change
      * @param limitMillis maximum time to wait
      * @param outcome receives the verdict once, later, unless the wait is cancelled; {@link
      *     PromptVerdict#IN_DOUBT} if it is not known in time
@@ -89,8 +90,7 @@
             Consumer<PromptVerdict> outcome) {
         boolean isFull = mWaiting.size() >= MAXIMUM_WAITING;
         WaitingRequest request =
-                new WaitingRequest(
-                        List.copyOf(parts), isFull ? nowMillis : nowMillis + limitMillis, outcome);
+                new WaitingRequest(parts, isFull ? nowMillis : nowMillis + limitMillis, outcome);
         mWaiting.add(request);
         advance(nowMillis);
         return () -> mWaiting.remove(request);
@@ -165,7 +165,7 @@
                     "trial",
                     trial,
                     "parts",
-                    String.join(",", parts),
+                    EventLog.join(parts),
                     "used",
                     tester.isPresent());
             tester.ifPresent(found -> end(found, PromptVerdict.TRIAL));
@@ -204,7 +204,7 @@
                 "engine",
                 incarnation,
                 "parts",
-                String.join(",", parts),
+                EventLog.join(parts),
                 "verdict",
                 mQuarantine.verdict(parts));
         advance(nowMillis);
@@ -236,17 +236,18 @@
 
     /** A request that waits; each is different from all others. */
     private static final class WaitingRequest {
-        private final List<String> mParts;
+        private final Collection<String> mParts;
         private final long mDeadlineMillis;
         private final Consumer<PromptVerdict> mOutcome;
 
-        WaitingRequest(List<String> parts, long deadlineMillis, Consumer<PromptVerdict> outcome) {
+        WaitingRequest(
+                Collection<String> parts, long deadlineMillis, Consumer<PromptVerdict> outcome) {
             mParts = parts;
             mDeadlineMillis = deadlineMillis;
             mOutcome = outcome;
         }
 
-        List<String> parts() {
+        Collection<String> parts() {
             return mParts;
         }
 
--- a/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
@@ -95,6 +95,9 @@
 
     /** Returns whether a prompt with the given parts may be sent to an engine. */
     public PromptVerdict verdict(Collection<String> parts) {
+        if (mUnexplainedCrashes.isEmpty()) {
+            return PromptVerdict.SOUND;
+        }
         int mostCrashes =
                 parts.stream()
                         .mapToInt(part -> mUnexplainedCrashes.getOrDefault(part, 0))
--- a/src/test/java/org/vanilladoor/platform/OperatorWireFormatTests.java
+++ b/src/test/java/org/vanilladoor/platform/OperatorWireFormatTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -52,6 +53,44 @@
         assertThat(prompt.affinityKey()).isEqualTo("m/91bd");
     }
 
+    /** As strings of their own, they would take twenty times as much. */
+    @Test
+    void thePartsOfAPromptTakeNoMoreThanTwiceTheHeadThatHasThem() throws Exception {
+        int requests = 300;
+        String parts = "1:1,".repeat(3_700) + "2:1";
+        HttpRequest request = new BasicHttpRequest("POST", "/a/");
+        request.addHeader("Host", "h");
+        request.addHeader(Headers.ATTEMPT_IDENTIFIER, "abc");
+        request.addHeader(Headers.TOKEN_COUNTS, "3701,2");
+        request.addHeader(Headers.PROMPT_PARTS, parts);
+        List<CallerRequest> decoded = new ArrayList<>();
+        long bytesBefore = usedBytes();
+        for (int number = 0; number < requests; number++) {
+            decoded.add(mWireFormat.decodeRequest(request, new byte[0]));
+        }
+        long bytesPerRequest = (usedBytes() - bytesBefore) / requests;
+        assertThat(bytesPerRequest).isLessThan(2L * parts.length());
+        assertThat(decoded.get(0).sharedPromptParts()).hasSize(3_700);
+    }
+
+    private static long usedBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    @Test
+    void aPartWithALongIdentifierIsKnownByAShortOne() throws MalformedRequestException {
+        HttpRequest request = request();
+        request.setHeader(Headers.PROMPT_PARTS, "ABC:1," + "f".repeat(10_000) + ":1,last:1");
+        List<String> parts = mWireFormat.decodeRequest(request, new byte[0]).sharedPromptParts();
+        assertThat(parts).hasSize(2);
+        assertThat(parts.get(0)).isEqualTo("abc");
+        assertThat(parts.get(1).length()).isAtMost(64);
+        request.setHeader(Headers.PROMPT_PARTS, "f".repeat(9_999) + ":1,last:1");
+        assertThat(mWireFormat.decodeRequest(request, new byte[0]).sharedPromptParts())
+                .doesNotContain(parts.get(1));
+    }
+
     @Test
     void aLengthHintIsDecodedAndForwarded() throws MalformedRequestException {
         HttpRequest hinted = request();
