Log where a failure came from when it closes a caller's connection

A failure of the connection itself is common and has one line; any other one has its stack trace, since the request's own line names only its type.

--- a/src/main/java/org/vanilladoor/transport/FrontExchange.java
+++ b/src/main/java/org/vanilladoor/transport/FrontExchange.java
@@ -340,7 +340,10 @@
         try {
             step.run();
         } catch (RuntimeException | Error e) {
-            LOG.warn("front: Closing a connection after a failure: {}.", e.toString());
+            LOG.warn(
+                    "front: Closing a connection after a failure: {}.",
+                    e.toString(),
+                    e instanceof UncheckedIOException ? null : e);
             disconnect();
             throw e;
         }
