Look waiting prompts up again only when the evidence changes

Requests in doubt were looked up part by part every 25 ms while they waited. Found by reading: 256 prompts of 3,700 parts would have kept the control thread busy. What is quarantined of each is kept now, and all parts are looked up when a verdict may have changed. CrashReportExchangeTests counts the look-ups.

--- a/src/main/java/org/vanilladoor/quarantine/PromptGuard.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptGuard.java
@@ -39,6 +39,7 @@
     private long mNowMillis;
     private long mNextClaimMillis = Long.MIN_VALUE;
     private long mNextReadMillis = Long.MIN_VALUE;
+    private long mCheckedVersion;
 
     private PromptGuard(
             PromptQuarantine quarantine, CrashReportPublisher publisher, String incarnation) {
@@ -90,7 +91,11 @@
             Consumer<PromptVerdict> outcome) {
         boolean isFull = mWaiting.size() >= MAXIMUM_WAITING;
         WaitingRequest request =
-                new WaitingRequest(parts, isFull ? nowMillis : nowMillis + limitMillis, outcome);
+                new WaitingRequest(
+                        parts,
+                        mQuarantine.quarantinedAmong(parts),
+                        isFull ? nowMillis : nowMillis + limitMillis,
+                        outcome);
         mWaiting.add(request);
         advance(nowMillis);
         return () -> mWaiting.remove(request);
@@ -108,10 +113,16 @@
 
     private void advance(long nowMillis) {
         mNowMillis = Math.max(mNowMillis, nowMillis);
+        // A prompt may have thousands of parts, so that all are looked up only if need be.
+        boolean isUnchanged = mCheckedVersion == mQuarantine.verdictVersion();
+        mCheckedVersion = mQuarantine.verdictVersion();
         for (WaitingRequest request : new ArrayList<>(mWaiting)) {
-            PromptVerdict verdict = verdict(request.parts(), mNowMillis);
-            if (verdict != PromptVerdict.IN_DOUBT || mNowMillis >= request.deadlineMillis()) {
+            PromptVerdict verdict =
+                    isUnchanged ? PromptVerdict.IN_DOUBT : verdict(request.mParts, mNowMillis);
+            if (verdict != PromptVerdict.IN_DOUBT || mNowMillis >= request.mDeadlineMillis) {
                 end(request, verdict);
+            } else if (!isUnchanged) {
+                request.mQuarantined = mQuarantine.quarantinedAmong(request.mParts);
             }
         }
         if (!mWaiting.isEmpty() && !mClaiming && mNowMillis >= mNextClaimMillis) {
@@ -121,13 +132,13 @@
 
     private void end(WaitingRequest request, PromptVerdict verdict) {
         if (mWaiting.remove(request)) {
-            request.outcome().accept(verdict);
+            request.mOutcome.accept(verdict);
         }
     }
 
     private void claimTrialOrRead() {
         for (WaitingRequest request : mWaiting) {
-            Set<String> due = mQuarantine.partsDueForTrial(request.parts(), mNowMillis);
+            Set<String> due = mQuarantine.partsDueForTrial(request.mQuarantined, mNowMillis);
             if (!due.isEmpty()) {
                 claimTrial(request, due);
                 return;
@@ -149,7 +160,7 @@
     }
 
     private boolean isStillDue(WaitingRequest request, Set<String> parts) {
-        return mQuarantine.partsDueForTrial(request.parts(), mNowMillis).equals(parts);
+        return mQuarantine.partsDueForTrial(request.mParts, mNowMillis).equals(parts);
     }
 
     private void onClaimed(
@@ -177,9 +188,7 @@
     private Optional<WaitingRequest> tester(WaitingRequest request, Set<String> parts) {
         return mWaiting.contains(request)
                 ? Optional.of(request)
-                : mWaiting.stream()
-                        .filter(each -> mQuarantine.quarantinedAmong(each.parts()).equals(parts))
-                        .findFirst();
+                : mWaiting.stream().filter(each -> each.mQuarantined.equals(parts)).findFirst();
     }
 
     /** Returns whether no part is suspected of crashing engines. */
@@ -239,24 +248,17 @@
         private final Collection<String> mParts;
         private final long mDeadlineMillis;
         private final Consumer<PromptVerdict> mOutcome;
+        private Set<String> mQuarantined;
 
         WaitingRequest(
-                Collection<String> parts, long deadlineMillis, Consumer<PromptVerdict> outcome) {
+                Collection<String> parts,
+                Set<String> quarantined,
+                long deadlineMillis,
+                Consumer<PromptVerdict> outcome) {
             mParts = parts;
+            mQuarantined = quarantined;
             mDeadlineMillis = deadlineMillis;
             mOutcome = outcome;
         }
-
-        Collection<String> parts() {
-            return mParts;
-        }
-
-        long deadlineMillis() {
-            return mDeadlineMillis;
-        }
-
-        Consumer<PromptVerdict> outcome() {
-            return mOutcome;
-        }
     }
 }
--- a/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/vanilladoor/quarantine/PromptQuarantine.java
@@ -85,6 +85,7 @@
                 }
             };
     private long mRevision;
+    private long mVerdictVersion;
 
     private PromptQuarantine() {}
 
@@ -195,6 +196,7 @@
      * <p>Depends on nothing but the evidence, so that VMs with the same evidence agree.
      */
     private void explainCrashes() {
+        mVerdictVersion++;
         mUnexplainedCrashes.clear();
         SortedMap<Integer, List<String>> partsByAnswers = new TreeMap<>();
         mSuspects.forEach(
@@ -283,6 +285,12 @@
     /** Announces a trial of a part; it must be published before the request is let through. */
     public void announceTrial(String part, String trial, long nowMillis) {
         noteChange(evidence(part).addTrial(trial, nowMillis));
+        mVerdictVersion++;
+    }
+
+    /** Returns a number that changes whenever a verdict may have changed other than with time. */
+    long verdictVersion() {
+        return mVerdictVersion;
     }
 
     /** Returns a number that increases with each observation that other VMs have to learn. */
--- a/src/test/java/org/vanilladoor/quarantine/CrashReportExchangeTests.java
+++ b/src/test/java/org/vanilladoor/quarantine/CrashReportExchangeTests.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.vanilladoor.common.Json;
 import org.vanilladoor.common.MonotonicClock;
@@ -186,6 +188,35 @@
         assertThat(verdicts).containsExactly(PromptVerdict.TRIAL);
     }
 
+    /** A prompt may have thousands of parts, and hundreds may wait. */
+    @Test
+    void aWaitingPromptIsNotLookedUpAgainWhileNothingChanges() {
+        Vm vm = new Vm("a");
+        crashWithCustomersPart(vm);
+        AtomicInteger lookUps = new AtomicInteger();
+        List<String> parts =
+                new AbstractList<>() {
+                    @Override
+                    public String get(int index) {
+                        lookUps.incrementAndGet();
+                        return CUSTOMERS_PART;
+                    }
+
+                    @Override
+                    public int size() {
+                        return 1;
+                    }
+                };
+        vm.await(parts, new ArrayList<>());
+        vm.mGuard.tick(mNowMillis);
+        int lookUpsBefore = lookUps.get();
+        for (int tick = 0; tick < 10; tick++) {
+            mNowMillis++;
+            vm.mGuard.tick(mNowMillis);
+        }
+        assertThat(lookUps.get()).isEqualTo(lookUpsBefore);
+    }
+
     private void passMillis(long millis) {
         mNowMillis = MonotonicClock.nowMillis() + millis;
     }
